Serve requests end to end through separate processes

Cause: nothing existed. The thin path had to stand first. Change: entry and side daemons, the operator's tool, stand-ins for platform, store, engine, plain service and a relay, and a demo that starts them all. Ruled out: Beast 1.74's body_limit(none), which refuses every body that has a Content-Length; a limit out of reach is used instead.

--- /dev/null
+++ b/base/random.h
@@ -0,0 +1,43 @@
+// A small deterministic random source, seeded from outside so that a state
+// machine's run can be repeated.
+//
+//   Random R(Seed);
+//   size_t I = R.below(Candidates.size());
+#ifndef GOLDCRESTLINK_BASE_RANDOM_H
+#define GOLDCRESTLINK_BASE_RANDOM_H
+
+#include <cassert>
+#include <cstdint>
+
+namespace goldcrestlink {
+
+/// SplitMix64 generator. Not thread-safe; each owner has its own.
+class Random {
+public:
+  explicit Random(uint64_t Seed) : State(Seed) {}
+
+  /// The next 64 random bits.
+  uint64_t next() {
+    State += 0x9e3779b97f4a7c15ULL;
+    uint64_t Z = State;
+    Z = (Z ^ (Z >> 30)) * 0xbf58476d1ce4e5b9ULL;
+    Z = (Z ^ (Z >> 27)) * 0x94d049bb133111ebULL;
+    return Z ^ (Z >> 31);
+  }
+
+  /// A number in [0, Bound). Precondition: Bound > 0.
+  uint64_t below(uint64_t Bound) {
+    assert(Bound > 0);
+    return next() % Bound;
+  }
+
+  /// A number in [0, 1).
+  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+
+private:
+  uint64_t State;
+};
+
+} // namespace goldcrestlink
+
+#endif // GOLDCRESTLINK_BASE_RANDOM_H
--- /dev/null
+++ b/cli/main.cc
@@ -0,0 +1,176 @@
+// The command-line tool: goldcrestlink check|diff|apply|status|explain.
+// Exit codes: 0 done; 1 failed or unknown; 2 findings or usage; 3 lost a race.
+#include <cstdio>
+
+#include <CLI/CLI.hpp>
+#include <nlohmann/json.hpp>
+
+#include "cli/apply.h"
+#include "http/client.h"
+
+using namespace goldcrestlink;
+
+namespace {
+
+constexpr int ExitFailed = 1;
+constexpr int ExitFindings = 2;
+constexpr int ExitRaced = 3;
+
+struct Arguments {
+  std::string Folder;
+  std::vector<std::string> Platform = {"127.0.0.1:9000"};
+  std::vector<std::string> Processes;
+  std::string Model;
+  uint64_t IfGeneration = 0;
+  bool Json = false;
+};
+
+std::vector<http::Endpoint> endpoints(const std::vector<std::string> &Texts) {
+  std::vector<http::Endpoint> Out;
+  for (const std::string &Text : Texts)
+    Out.push_back(http::Endpoint::parse(Text));
+  return Out;
+}
+
+void printLines(const std::vector<std::string> &Lines, bool Json) {
+  if (Json) {
+    std::printf("%s\n", nlohmann::json(Lines).dump().c_str());
+    return;
+  }
+  for (const std::string &Line : Lines)
+    std::printf("%s\n", Line.c_str());
+}
+
+int check(const Arguments &A) {
+  FindingList Findings;
+  const auto D =
+      Declarations::parse(readDeclarationFiles(A.Folder), 0, Findings);
+  if (!Findings.empty())
+    throw FindingError(Findings);
+  if (A.Json)
+    std::printf("%s\n", nlohmann::json{{"adapters", D->adapters().size()},
+                                       {"upstreams", D->upstreams().size()}}
+                            .dump()
+                            .c_str());
+  else
+    std::printf("valid: %zu adapters, %zu upstreams, %zu routes\n",
+                D->adapters().size(), D->upstreams().size(),
+                D->routes().size());
+  return 0;
+}
+
+int diff(const Arguments &A) {
+  BlockingObjectClient Platform(endpoints(A.Platform));
+  const RemoteConfig Remote = readRemote(Platform);
+  printLines(diffSets(Remote.Files, readDeclarationFiles(A.Folder)), A.Json);
+  return 0;
+}
+
+int apply(const Arguments &A) {
+  BlockingObjectClient Platform(endpoints(A.Platform));
+  const RemoteConfig Base = readRemote(Platform);
+  if (A.IfGeneration && Base.Head.Generation != A.IfGeneration) {
+    std::fprintf(stderr, "generation %llu is in force, not %llu\n",
+                 static_cast<unsigned long long>(Base.Head.Generation),
+                 static_cast<unsigned long long>(A.IfGeneration));
+    return ExitRaced;
+  }
+  const ApplyResult R =
+      applySet(Platform, readDeclarationFiles(A.Folder), Base);
+  static const char *Names[] = {"applied", "unchanged", "raced", "unknown"};
+  const char *Name = Names[static_cast<size_t>(R.Outcome)];
+  if (A.Json)
+    std::printf("%s\n", nlohmann::json{{"outcome", Name},
+                                       {"generation", R.Generation},
+                                       {"changes", R.Changes}}
+                            .dump()
+                            .c_str());
+  else
+    std::printf("%s: generation %llu\n", Name,
+                static_cast<unsigned long long>(R.Generation));
+  if (R.Outcome == ApplyOutcome::Raced) {
+    std::fprintf(stderr, "another operator applied first; it changed:\n");
+    if (!A.Json)
+      printLines(R.Changes, false);
+    return ExitRaced;
+  }
+  return R.Outcome == ApplyOutcome::Unknown ? ExitFailed : 0;
+}
+
+// Prints one page of each process; fails if one does not answer.
+int page(const Arguments &A, const std::string &Target) {
+  int Exit = 0;
+  nlohmann::json All = nlohmann::json::object();
+  for (const std::string &Process : A.Processes) {
+    http::Request R;
+    R.Target = Target;
+    std::string Body;
+    try {
+      Body = http::fetchNow(
+                 http::Endpoint::parse(Process), R,
+                 http::CallOptions().setSilenceTimeout(std::chrono::seconds(3)))
+                 .Body;
+    } catch (const std::runtime_error &E) {
+      Body = std::string(E.what()) + "\n";
+      Exit = ExitFailed;
+    }
+    if (A.Json)
+      All[Process] = Body;
+    else
+      std::printf("%s\n%s", Process.c_str(), Body.c_str());
+  }
+  if (A.Json)
+    std::printf("%s\n", All.dump().c_str());
+  return Exit;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  CLI::App App{"goldcrestlink operator's tool. Exit codes: 0 done, 1 failed, "
+               "2 findings or usage, 3 another operator was faster."};
+  App.require_subcommand(1);
+  Arguments A;
+  App.add_flag("--json", A.Json, "machine-readable output");
+  const auto AddPlatform = [&](CLI::App *Sub) {
+    Sub->add_option("--platform", A.Platform, "ip:port of the object API");
+  };
+  auto *Check = App.add_subcommand("check", "check a folder of declarations");
+  auto *Diff = App.add_subcommand("diff", "compare a folder with what is in "
+                                          "force");
+  auto *Apply = App.add_subcommand("apply", "apply a folder as a whole");
+  for (auto *Sub : {Check, Diff, Apply})
+    Sub->add_option("folder", A.Folder, "folder of .ini files")->required();
+  AddPlatform(Diff);
+  AddPlatform(Apply);
+  Apply->add_option("--if-generation", A.IfGeneration,
+                    "apply only if this generation is in force");
+  auto *Status = App.add_subcommand("status", "state of running processes");
+  auto *Explain = App.add_subcommand("explain", "where a request would go");
+  for (auto *Sub : {Status, Explain})
+    Sub->add_option("--process", A.Processes, "ip:port of a process's HTTP")
+        ->required();
+  Explain->add_option("model", A.Model, "adapter@version")->required();
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::ParseError &E) {
+    return App.exit(E) == 0 ? 0 : ExitFindings;
+  }
+  try {
+    if (Check->parsed())
+      return check(A);
+    if (Diff->parsed())
+      return diff(A);
+    if (Apply->parsed())
+      return apply(A);
+    if (Status->parsed())
+      return page(A, "/status");
+    return page(A, "/explain?model=" + A.Model);
+  } catch (const FindingError &E) {
+    std::fputs(E.what(), stderr);
+    return ExitFindings;
+  } catch (const std::exception &E) {
+    std::fprintf(stderr, "goldcrestlink: %s\n", E.what());
+    return ExitFailed;
+  }
+}
--- /dev/null
+++ b/config/bundle.cc
@@ -0,0 +1,127 @@
+// A chunk starts with a line "file NAME" and holds a run of that file's text.
+// A new chunk begins at a section header whose hash falls on 1 of
+// BoundaryOneIn, and always before MaxChunkBytes. So an inserted or changed
+// section moves one chunk, not all that follow. Linear in the text.
+#include "config/bundle.h"
+
+#include <charconv>
+#include <stdexcept>
+
+#include "base/hash.h"
+
+namespace goldcrestlink {
+
+namespace {
+
+constexpr uint64_t BoundaryOneIn = 96;
+constexpr size_t MinChunkBytes = 2 * 1024;
+constexpr size_t MaxChunkBytes = 256 * 1024;
+constexpr std::string_view HeadPrefix = "generation ";
+constexpr std::string_view FilePrefix = "file ";
+
+class ChunkWriter {
+public:
+  explicit ChunkWriter(Bundle &Out) : Out(Out) {}
+
+  void file(const DeclarationFile &File) {
+    Name = File.Name;
+    std::string_view Rest = File.Text;
+    while (!Rest.empty()) {
+      const size_t End = Rest.find('\n');
+      const size_t Length =
+          End == std::string_view::npos ? Rest.size() : End + 1;
+      line(Rest.substr(0, Length));
+      Rest.remove_prefix(Length);
+    }
+    flush();
+  }
+
+private:
+  void line(std::string_view Line) {
+    const bool Header = Line.front() == '[';
+    const bool Boundary = Header && Text.size() >= MinChunkBytes &&
+                          hash64(Line) % BoundaryOneIn == 0;
+    if (Boundary || Text.size() + Line.size() > MaxChunkBytes)
+      flush();
+    Text.append(Line);
+  }
+
+  void flush() {
+    if (Text.empty())
+      return;
+    std::string Chunk = std::string(FilePrefix) + Name + "\n" + Text;
+    const std::string Hash = contentHash(Chunk);
+    Out.Head.ChunkHashes.push_back(Hash);
+    Out.Chunks.emplace(Hash, std::move(Chunk));
+    Text.clear();
+  }
+
+  Bundle &Out;
+  std::string Name;
+  std::string Text;
+};
+
+} // namespace
+
+std::string BundleHead::text() const {
+  std::string Out = std::string(HeadPrefix) + std::to_string(Generation) + "\n";
+  for (const std::string &Hash : ChunkHashes)
+    Out += Hash + "\n";
+  return Out;
+}
+
+BundleHead BundleHead::parse(std::string_view Text) {
+  BundleHead Out;
+  const size_t End = Text.find('\n');
+  if (Text.substr(0, HeadPrefix.size()) != HeadPrefix ||
+      End == std::string_view::npos)
+    throw std::invalid_argument("configuration head without a generation");
+  const std::string_view Number =
+      Text.substr(HeadPrefix.size(), End - HeadPrefix.size());
+  const auto [Stop, Error] = std::from_chars(
+      Number.data(), Number.data() + Number.size(), Out.Generation);
+  if (Error != std::errc() || Stop != Number.data() + Number.size())
+    throw std::invalid_argument("configuration head with a bad generation");
+  Text.remove_prefix(End + 1);
+  while (!Text.empty()) {
+    const size_t Line = Text.find('\n');
+    if (Line == std::string_view::npos)
+      throw std::invalid_argument("configuration head is cut short");
+    Out.ChunkHashes.emplace_back(Text.substr(0, Line));
+    Text.remove_prefix(Line + 1);
+  }
+  return Out;
+}
+
+Bundle packBundle(const std::vector<DeclarationFile> &Files,
+                  uint64_t Generation) {
+  Bundle Out;
+  Out.Head.Generation = Generation;
+  ChunkWriter Writer(Out);
+  for (const DeclarationFile &File : Files)
+    Writer.file(File);
+  return Out;
+}
+
+std::vector<DeclarationFile> unpackBundle(const BundleHead &Head,
+                                          const ChunkMap &Chunks) {
+  std::vector<DeclarationFile> Files;
+  for (const std::string &Hash : Head.ChunkHashes) {
+    const auto It = Chunks.find(Hash);
+    if (It == Chunks.end())
+      throw std::invalid_argument("chunk " + Hash + " is missing");
+    const std::string_view Chunk = It->second;
+    const size_t End = Chunk.find('\n');
+    if (contentHash(Chunk) != Hash || End == std::string_view::npos ||
+        Chunk.substr(0, FilePrefix.size()) != FilePrefix)
+      throw std::invalid_argument("chunk " + Hash + " is damaged");
+    const std::string Name(
+        Chunk.substr(FilePrefix.size(), End - FilePrefix.size()));
+    if (Files.empty() || Files.back().Name != Name)
+      Files.push_back({Name, {}});
+    Files.back().Text.append(Chunk.substr(End + 1));
+  }
+  return Files;
+}
+
+} // namespace goldcrestlink
--- /dev/null
+++ b/config/config_replica.cc
@@ -0,0 +1,82 @@
+// Generations only rise: a head that is not newer than both what is in force
+// and what is pending is ignored, whoever sent it. Chunks are shared between
+// generations by hash, so that a change fetches only what it touches.
+#include "config/config_replica.h"
+
+#include <set>
+#include <stdexcept>
+
+#include "base/hash.h"
+
+namespace goldcrestlink {
+
+std::vector<std::string> ConfigReplica::offerHead(std::string_view HeadText) {
+  BundleHead Head;
+  try {
+    Head = BundleHead::parse(HeadText);
+  } catch (const std::invalid_argument &) {
+    return {};
+  }
+  const uint64_t Newest =
+      std::max(generation(), Pending ? Pending->Generation : 0);
+  if (Head.Generation > Newest && Head.Generation != RefusedGeneration)
+    Pending = std::move(Head);
+  return missing();
+}
+
+std::vector<std::string> ConfigReplica::missing() const {
+  std::vector<std::string> Out;
+  if (!Pending)
+    return Out;
+  for (const std::string &Hash : Pending->ChunkHashes)
+    if (!Chunks.count(Hash))
+      Out.push_back(Hash);
+  return Out;
+}
+
+void ConfigReplica::addChunk(const std::string &Hash, std::string Data) {
+  if (!Pending || contentHash(Data) != Hash)
+    return;
+  for (const std::string &Needed : Pending->ChunkHashes)
+    if (Needed == Hash) {
+      Chunks.emplace(Hash, std::move(Data));
+      return;
+    }
+}
+
+std::shared_ptr<const Declarations>
+ConfigReplica::takeReady(FindingList &Findings) {
+  if (!Pending || !missing().empty())
+    return nullptr;
+  std::shared_ptr<const Declarations> Parsed;
+  try {
+    Parsed = Declarations::parse(unpackBundle(*Pending, Chunks),
+                                 Pending->Generation, Findings);
+  } catch (const std::invalid_argument &Bad) {
+    Findings.add({"configuration", 0}, Bad.what());
+  }
+  if (!Findings.empty()) {
+    RefusedGeneration = Pending->Generation;
+    Pending.reset();
+    return nullptr;
+  }
+  InForce = Parsed;
+  HeadInForce = Pending->text();
+  Current = std::move(*Pending);
+  Pending.reset();
+  dropUnused();
+  return InForce;
+}
+
+const std::string *ConfigReplica::chunk(const std::string &Hash) const {
+  const auto It = Chunks.find(Hash);
+  return It == Chunks.end() ? nullptr : &It->second;
+}
+
+void ConfigReplica::dropUnused() {
+  const std::set<std::string> Used(Current.ChunkHashes.begin(),
+                                   Current.ChunkHashes.end());
+  std::erase_if(Chunks, [&](const auto &C) { return !Used.count(C.first); });
+}
+
+} // namespace goldcrestlink
--- /dev/null
+++ b/daemon/request_metrics.h
@@ -0,0 +1,46 @@
+// Metrics of an entry: per rank and application counts, latencies and refusals
+// by cause. Traffic threads queue records; the control thread takes them in.
+//
+//   RequestMetrics M;
+//   M.push(Record);                 // any thread
+//   M.collect();  M.text();         // control thread
+#ifndef GOLDCRESTLINK_DAEMON_REQUEST_METRICS_H
+#define GOLDCRESTLINK_DAEMON_REQUEST_METRICS_H
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <tbb/concurrent_queue.h>
+
+#include "entry/actions.h"
+
+namespace goldcrestlink {
+
+/// push() is thread-safe; the rest is for one thread.
+class RequestMetrics {
+public:
+  RequestMetrics();
+  ~RequestMetrics();
+  void push(entry::RequestRecord Record);
+  /// Takes in what is queued.
+  void collect();
+  /// Prometheus text.
+  std::string text() const;
+
+private:
+  struct Series;
+  struct Key {
+    std::string Rank;
+    std::string Application;
+    auto operator<=>(const Key &) const = default;
+  };
+  tbb::concurrent_bounded_queue<entry::RequestRecord> Queue;
+  std::atomic<uint64_t> Dropped{0};
+  std::map<Key, std::unique_ptr<Series>> AllSeries;
+};
+
+} // namespace goldcrestlink
+
+#endif // GOLDCRESTLINK_DAEMON_REQUEST_METRICS_H
--- /dev/null
+++ b/daemon/side_daemon.h
@@ -0,0 +1,16 @@
+// The side role: one traffic thread, and the control thread that keeps its
+// configuration, leases, membership, log and metrics.
+#ifndef GOLDCRESTLINK_DAEMON_SIDE_DAEMON_H
+#define GOLDCRESTLINK_DAEMON_SIDE_DAEMON_H
+
+#include "config/settings.h"
+
+namespace goldcrestlink {
+
+/// Serves until SIGTERM or SIGINT, then stops gracefully. Returns the exit
+/// code. Throws std::runtime_error if it cannot start.
+int runSide(const Settings &S);
+
+} // namespace goldcrestlink
+
+#endif // GOLDCRESTLINK_DAEMON_SIDE_DAEMON_H
--- /dev/null
+++ b/daemon/side_traffic.h
@@ -0,0 +1,74 @@
+// The traffic thread of a side: the socket that entries and other sides
+// connect to, connections to other sides, the upstream, and a SideMachine
+// that decides.
+//
+//   SideTraffic T(Settings, Seed, Context, Sinks);
+//   std::thread Thread([&] { T.run(); });
+//   T.publish(Declarations);            // any thread
+#ifndef GOLDCRESTLINK_DAEMON_SIDE_TRAFFIC_H
+#define GOLDCRESTLINK_DAEMON_SIDE_TRAFFIC_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "config/declarations.h"
+#include "config/settings.h"
+#include "membership/shard_lease.h"
+#include "side/side_machine.h"
+
+namespace zmq {
+class context_t;
+} // namespace zmq
+
+namespace goldcrestlink {
+
+/// Where traffic hands things to the control thread. All are thread-safe.
+struct SideSinks {
+  std::function<void(std::string)> Log;
+  /// A message about configuration or membership. \p Reply answers it.
+  std::function<void(const std::string &Peer, const wire::Envelope &,
+                     std::function<void(wire::Envelope)> Reply)>
+      Control;
+};
+
+/// What the control thread may know of the machine.
+struct SideSummary {
+  bool Ready = false;
+  bool Drained = false;
+  bool UpstreamDown = false;
+  size_t Running = 0;
+  size_t Waiting = 0;
+  size_t Keys = 0;
+  uint64_t BadFrames = 0;
+  side::SideCounters Counters;
+};
+
+/// run() belongs to one thread; the other methods are thread-safe.
+class SideTraffic {
+public:
+  /// Binds the socket; throws std::runtime_error if the address is taken.
+  SideTraffic(const Settings &S, uint64_t Seed, zmq::context_t &Context,
+              SideSinks Sinks);
+  ~SideTraffic();
+  void run();
+  void stop();
+  void publish(std::shared_ptr<const Declarations> Config);
+  void applyShards(ShardEffects Effects);
+  void setDraining(bool On);
+  /// Sends to another side by upstream name or "ip:port".
+  void tell(std::string Peer, wire::Envelope Message);
+  /// Sends to every other side of the cell.
+  void tellCell(wire::Envelope Message);
+  /// Sends to one other side of the cell.
+  void tellAny(wire::Envelope Message);
+  SideSummary summary() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> Shell;
+};
+
+} // namespace goldcrestlink
+
+#endif // GOLDCRESTLINK_DAEMON_SIDE_TRAFFIC_H
--- /dev/null
+++ b/http/server.cc
@@ -0,0 +1,348 @@
+// One Connection per socket reads a request, hands it over, and queues what
+// the responder sends. While a request is in progress the connection also
+// waits for readability, which is how a caller's departure is noticed. Memory
+// per connection is bounded by the header, body and unsent-bytes limits.
+#include "http/server.h"
+
+#include <deque>
+#include <optional>
+#include <unordered_set>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace goldcrestlink::http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace bhttp = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+class Connection;
+
+using ReusePort =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+} // namespace
+
+struct Server::State : std::enable_shared_from_this<Server::State> {
+  State(asio::io_context &Io, ServerOptions Options, Handler OnRequest)
+      : Io(Io), Acceptor(Io), Options(Options),
+        OnRequest(std::move(OnRequest)) {}
+
+  void listen(const Endpoint &Listen);
+  void accept();
+  void stop();
+
+  asio::io_context &Io;
+  Tcp::acceptor Acceptor;
+  ServerOptions Options;
+  Handler OnRequest;
+  std::unordered_set<Connection *> Connections;
+  size_t Active = 0;
+  bool Stopping = false;
+  bool Closing = false;
+};
+
+namespace {
+
+class Connection : public Responder,
+                   public std::enable_shared_from_this<Connection> {
+public:
+  Connection(std::shared_ptr<Server::State> Owner, Tcp::socket Socket)
+      : Owner(std::move(Owner)), Stream(std::move(Socket)) {
+    this->Owner->Connections.insert(this);
+  }
+
+  ~Connection() override {
+    Owner->Connections.erase(this);
+    finishRequest();
+  }
+
+  void readRequest() {
+    Parser.emplace();
+    Parser->header_limit(
+        static_cast<uint32_t>(Owner->Options.maxHeaderBytes()));
+    Parser->body_limit(Owner->Options.maxBodyBytes());
+    Stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
+        Owner->Options.idleTimeout()));
+    bhttp::async_read(Stream, Buffer, *Parser,
+                      [Self = shared_from_this()](ErrorCode Error, size_t) {
+                        Self->onRead(Error);
+                      });
+  }
+
+  void closeIfIdle() {
+    if (!InRequest && Unsent.empty())
+      close();
+  }
+
+  void whole(unsigned Status, const Headers &Fields,
+             std::string Body) override {
+    bhttp::response<bhttp::string_body> Response;
+    Response.body() = std::move(Body);
+    fillHead(Response, Status, Fields);
+    Response.prepare_payload();
+    Ended = true;
+    push(serialise(Response));
+  }
+
+  void begin(unsigned Status, const Headers &Fields) override {
+    bhttp::response<bhttp::empty_body> Response;
+    fillHead(Response, Status, Fields);
+    Response.chunked(true);
+    push(serialise(Response));
+  }
+
+  void data(std::string Part) override {
+    if (Part.empty())
+      return;
+    char Size[20];
+    const int Length =
+        std::snprintf(Size, sizeof(Size), "%zx\r\n", Part.size());
+    std::string Frame;
+    Frame.reserve(Part.size() + static_cast<size_t>(Length) + 2);
+    Frame.append(Size, static_cast<size_t>(Length)).append(Part).append("\r\n");
+    push(std::move(Frame));
+  }
+
+  void end() override {
+    Ended = true;
+    push("0\r\n\r\n");
+  }
+
+  void abort() override {
+    CutAfterFlush = true;
+    if (Unsent.empty())
+      close();
+  }
+
+  void onGone(std::function<void()> Callback) override {
+    Gone = std::move(Callback);
+  }
+
+private:
+  template <class Response>
+  void fillHead(Response &R, unsigned Status, const Headers &Fields) {
+    R.version(11);
+    R.result(Status);
+    R.keep_alive(KeepAlive && !Owner->Closing);
+    KeepAlive = R.keep_alive();
+    for (const Header &H : Fields)
+      R.set(H.Name, H.Value);
+  }
+
+  template <class Response> std::string serialise(Response &R) {
+    std::string Out;
+    bhttp::serializer<false, typename Response::body_type> Serializer(R);
+    ErrorCode Error;
+    while (!Serializer.is_done()) {
+      Serializer.next(Error, [&](ErrorCode &, const auto &Buffers) {
+        for (const auto &B : beast::buffers_range_ref(Buffers))
+          Out.append(static_cast<const char *>(B.data()), B.size());
+        Serializer.consume(beast::buffer_bytes(Buffers));
+      });
+      if (Serializer.is_header_done() &&
+          std::is_same_v<typename Response::body_type, bhttp::empty_body>)
+        break;
+    }
+    return Out;
+  }
+
+  void onRead(ErrorCode Error) {
+    if (Error == bhttp::error::body_limit)
+      return refuse(413, "too_large");
+    if (Error == bhttp::error::header_limit)
+      return refuse(431, "too_large");
+    if (Error &&
+        Error.category() ==
+            bhttp::make_error_code(bhttp::error::bad_method).category() &&
+        Error != bhttp::error::end_of_stream &&
+        Error != bhttp::error::partial_message)
+      return refuse(400, "bad_request");
+    if (Error)
+      return close();
+    auto Message = Parser->release();
+    KeepAlive = Message.keep_alive();
+    Request Out;
+    Out.Method = std::string(Message.method_string());
+    Out.Target = std::string(Message.target());
+    for (const auto &Field : Message)
+      Out.Fields.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+    Out.Body = std::move(Message.body());
+    InRequest = true;
+    Ended = false;
+    ++Owner->Active;
+    Stream.expires_never();
+    watchDeparture();
+    Owner->OnRequest(std::move(Out), shared_from_this());
+  }
+
+  void refuse(unsigned Status, const char *CodeText) {
+    KeepAlive = false;
+    InRequest = true;
+    ++Owner->Active;
+    whole(Status, {{"Content-Type", "application/json"}},
+          std::string("{\"error\":{\"code\":\"") + CodeText +
+              "\",\"outcome\":\"not_run\"}}");
+  }
+
+  // Readable with nothing available is end of stream. Pipelined bytes stay in
+  // the kernel until the next readRequest.
+  void watchDeparture() {
+    Stream.socket().async_wait(
+        Tcp::socket::wait_read,
+        [Weak = weak_from_this(), Turn = Turn](ErrorCode Error) {
+          auto Self = Weak.lock();
+          if (!Self || Error || !Self->InRequest || Self->Turn != Turn)
+            return;
+          ErrorCode Bad;
+          if (Self->Stream.socket().available(Bad) == 0)
+            Self->close();
+        });
+  }
+
+  void push(std::string Bytes) {
+    if (Closed)
+      return;
+    UnsentBytes += Bytes.size();
+    if (UnsentBytes > Owner->Options.maxUnsentBytes())
+      return close();
+    Unsent.push_back(std::move(Bytes));
+    if (Unsent.size() == 1)
+      writeNext();
+  }
+
+  void writeNext() {
+    asio::async_write(Stream.socket(), asio::buffer(Unsent.front()),
+                      [Self = shared_from_this()](ErrorCode Error, size_t N) {
+                        Self->onWritten(Error, N);
+                      });
+  }
+
+  void onWritten(ErrorCode Error, size_t Bytes) {
+    if (Closed)
+      return;
+    if (Error)
+      return close();
+    UnsentBytes -= Bytes;
+    Unsent.pop_front();
+    if (!Unsent.empty())
+      return writeNext();
+    if (CutAfterFlush)
+      return close();
+    if (!Ended || !InRequest)
+      return;
+    Gone = nullptr;
+    finishRequest();
+    if (!KeepAlive)
+      return close();
+    readRequest();
+  }
+
+  void finishRequest() {
+    if (!InRequest)
+      return;
+    InRequest = false;
+    ++Turn;
+    --Owner->Active;
+  }
+
+  void close() {
+    if (Closed)
+      return;
+    Closed = true;
+    ErrorCode Ignored;
+    Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
+    Stream.socket().close(Ignored);
+    finishRequest();
+    // Not called from here directly: the caller of data() or abort() may be
+    // in the midst of its own change of state.
+    if (auto Callback = std::move(Gone); Callback)
+      asio::post(Owner->Io, std::move(Callback));
+    Gone = nullptr;
+  }
+
+  std::shared_ptr<Server::State> Owner;
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  std::optional<bhttp::request_parser<bhttp::string_body>> Parser;
+  std::deque<std::string> Unsent;
+  size_t UnsentBytes = 0;
+  std::function<void()> Gone;
+  uint64_t Turn = 0;
+  bool KeepAlive = true;
+  bool InRequest = false;
+  bool Ended = false;
+  bool CutAfterFlush = false;
+  bool Closed = false;
+};
+
+} // namespace
+
+void Server::State::listen(const Endpoint &Listen) {
+  const Tcp::endpoint Where(asio::ip::make_address(Listen.Address),
+                            Listen.Port);
+  try {
+    Acceptor.open(Where.protocol());
+    Acceptor.set_option(Tcp::acceptor::reuse_address(true));
+    if (Options.sharePort())
+      Acceptor.set_option(ReusePort(true));
+    Acceptor.bind(Where);
+    Acceptor.listen();
+  } catch (const boost::system::system_error &E) {
+    throw std::runtime_error("cannot listen on " + Listen.text() + ": " +
+                             E.code().message());
+  }
+}
+
+void Server::State::accept() {
+  Acceptor.async_accept([Self = shared_from_this()](ErrorCode Error,
+                                                    Tcp::socket Socket) {
+    if (Self->Stopping)
+      return;
+    if (!Error && Self->Connections.size() < Self->Options.maxConnections()) {
+      ErrorCode Ignored;
+      Socket.set_option(Tcp::no_delay(true), Ignored);
+      std::make_shared<Connection>(Self, std::move(Socket))->readRequest();
+    }
+    Self->accept();
+  });
+}
+
+void Server::State::stop() {
+  Stopping = true;
+  Closing = true;
+  ErrorCode Ignored;
+  Acceptor.close(Ignored);
+  const std::vector<Connection *> Snapshot(Connections.begin(),
+                                           Connections.end());
+  for (Connection *C : Snapshot)
+    C->closeIfIdle();
+}
+
+Server::Server(asio::io_context &Io, const Endpoint &Listen,
+               ServerOptions Options, Handler OnRequest)
+    : Shared(std::make_shared<State>(Io, Options, std::move(OnRequest))) {
+  Shared->listen(Listen);
+  Shared->accept();
+}
+
+Server::~Server() { Shared->stop(); }
+
+uint16_t Server::port() const {
+  return Shared->Acceptor.local_endpoint().port();
+}
+
+void Server::announceClose() { Shared->Closing = true; }
+
+void Server::stopAccepting() { Shared->stop(); }
+
+size_t Server::activeRequests() const { return Shared->Active; }
+
+} // namespace goldcrestlink::http
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# Sets up a fresh machine, builds, and runs all tests.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/install-packages.sh
+cmake -S . -B build -G Ninja
+cmake --build build
+bash scripts/run-tests.sh
--- /dev/null
+++ b/testing/fleet.cc
@@ -0,0 +1,340 @@
+// Ports are chosen free; every process gets its settings as a file in the work
+// folder, and its log beside it. Waits are on conditions, with generous
+// limits.
+#include "testing/fleet.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "http/client.h"
+
+namespace goldcrestlink::testing {
+
+namespace {
+
+constexpr double StartSeconds = 60;
+constexpr const char *Cell = "cell-1";
+constexpr const char *Loopback = "127.0.0.1";
+
+http::Endpoint freeEndpoint() {
+  return {Loopback, static_cast<uint16_t>(freePort())};
+}
+
+std::string fetchBody(const http::Endpoint &To, http::Request R) {
+  try {
+    return http::fetchNow(To, std::move(R), http::CallOptions()).Body;
+  } catch (const std::runtime_error &) {
+    return {};
+  }
+}
+
+} // namespace
+
+Fleet::Fleet(FleetShape InShape, std::string InPrograms, std::string InWork)
+    : Shape(std::move(InShape)), Programs(std::move(InPrograms)),
+      Work(std::move(InWork)) {
+  std::filesystem::remove_all(Work);
+  std::filesystem::create_directories(Work + "/declarations");
+  plan();
+}
+
+Member Fleet::makeMember(const std::string &Name) {
+  Member M;
+  M.Name = Name;
+  M.Http = freeEndpoint();
+  M.Admin = freeEndpoint();
+  M.Wire = freeEndpoint();
+  return M;
+}
+
+void Fleet::plan() {
+  Platform = makeMember("platform");
+  Platform.Command = {Programs + "/standin_platform", "--listen",
+                      Platform.Http.text()};
+  Store = makeMember("store");
+  Store.Command = {Programs + "/standin_store",
+                   "--listen",
+                   Store.Http.text(),
+                   "--rate",
+                   std::to_string(Shape.StoreRate),
+                   "--burst",
+                   std::to_string(Shape.StoreBurst),
+                   "--in-flight",
+                   std::to_string(Shape.StoreInFlight)};
+  for (size_t I = 0; I < Shape.Engines; ++I) {
+    Member M = makeMember("engine-" + std::to_string(I + 1));
+    M.Command = {Programs + "/standin_engine",
+                 "--listen",
+                 M.Http.text(),
+                 "--admin",
+                 M.Admin.text(),
+                 "--slots",
+                 std::to_string(Shape.Slots),
+                 "--max-batch",
+                 std::to_string(Shape.MaxBatch),
+                 "--step-ms",
+                 std::to_string(Shape.StepMs),
+                 "--load-fails-one-in",
+                 std::to_string(Shape.LoadFailsOneIn),
+                 "--crash-down-ms",
+                 std::to_string(Shape.CrashDownMs),
+                 "--seed",
+                 std::to_string(Shape.Seed + I)};
+    if (Shape.UseStore) {
+      M.Command.push_back("--store");
+      M.Command.push_back(Store.Http.text());
+    }
+    Engines.push_back(std::move(M));
+  }
+  for (size_t I = 0; I < Shape.Services; ++I) {
+    Member M = makeMember("ledger-" + std::to_string(I + 1));
+    M.Command = {Programs + "/standin_service", "--listen", M.Http.text()};
+    if (Shape.ServicesCheckFencing)
+      M.Command.push_back("--checks-fencing");
+    M.Admin = M.Http;
+    Services.push_back(std::move(M));
+  }
+  planSides(EngineSides, Engines, "side-");
+  planSides(ServiceSides, Services, "side-");
+  for (size_t I = 0; I < Shape.Entries; ++I) {
+    Member M = makeMember("entry-" + std::to_string(I + 1));
+    M.Command = {Programs + "/goldcrestlinkd", "--settings",
+                 Work + "/" + M.Name + ".ini"};
+    Entries.push_back(std::move(M));
+  }
+  for (size_t I = 0; I < Entries.size(); ++I) {
+    std::string Text = settingsText(Entries[I], "entry");
+    if (Shape.Relay)
+      Text.insert(Text.find("listen ="),
+                  "source_address = 127.0.0." + std::to_string(I + 2) + "\n");
+    writeFile(Work + "/" + Entries[I].Name + ".ini", Text);
+  }
+  if (!Shape.Relay)
+    return;
+  Relay = makeMember("relay");
+  Relay.Command = {Programs + "/standin_relay", "--admin", Relay.Admin.text()};
+  for (auto *Sides : {&EngineSides, &ServiceSides})
+    for (Member &M : *Sides) {
+      const http::Endpoint Inside = M.Admin;
+      Relay.Command.push_back(M.Wire.text() + "=" + Inside.text());
+    }
+}
+
+void Fleet::planSides(std::vector<Member> &Sides,
+                      const std::vector<Member> &Beside, const char *Prefix) {
+  for (const Member &Upstream : Beside) {
+    Member M = makeMember(Prefix + Upstream.Name);
+    M.Command = {Programs + "/goldcrestlinkd", "--settings",
+                 Work + "/" + M.Name + ".ini"};
+    // Behind a relay, the declared address is the relay's and the side
+    // listens on a second one.
+    const http::Endpoint Listen = Shape.Relay ? M.Admin : M.Wire;
+    writeFile(Work + "/" + M.Name + ".ini",
+              settingsText(M, "side") + "[side]\nupstream = " + Upstream.Name +
+                  "\nlisten = " + Listen.text() + "\n");
+    Sides.push_back(std::move(M));
+  }
+}
+
+std::string Fleet::settingsText(const Member &M,
+                                const std::string &Role) const {
+  std::string Peers;
+  for (const auto *Sides : {&EngineSides, &ServiceSides})
+    for (const Member &Side : *Sides)
+      if (Side.Name != M.Name)
+        Peers += " " + Side.Wire.text();
+  std::string Text =
+      "[process]\nrole = " + Role + "\ninstance = " + M.Name +
+      "\ndata_center = dc-1\ncell = " + Cell + "\nlisten = " + M.Http.text() +
+      "\ntraffic_threads = " + std::to_string(Shape.TrafficThreads) + "\n";
+  Text += "[platform]\nendpoints = " + Platform.Http.text() + "\n";
+  // The longest line that settings allow holds about six addresses.
+  if (!Peers.empty())
+    Text += "peers =" + Peers.substr(0, Peers.find(' ', 120)) + "\n";
+  if (!Shape.Strategy.empty())
+    Text += "[strategy]\n" + Shape.Strategy;
+  return Text;
+}
+
+void Fleet::writeFile(const std::string &Path, const std::string &Text) const {
+  std::ofstream(Path, std::ios::binary) << Text;
+}
+
+void Fleet::writeDeclarations() {
+  std::ostringstream Base;
+  Base << "[policy]\nlease_ms = " << Shape.LeaseMs
+       << "\nclock_skew_ms = " << Shape.ClockSkewMs << "\n[store]\n"
+       << "loads_per_second = " << Shape.StoreRate
+       << "\nconcurrent = " << Shape.StoreBurst
+       << "\nfull_speed_in_flight = " << Shape.StoreInFlight << "\n";
+  Base << "[rank urgent]\npriority = 0\ntarget_ms = 4000\ndeadline_ms = 8000\n"
+          "share = 0.3\nworth = 8\n"
+          "[rank standard]\npriority = 1\ntarget_ms = 15000\n"
+          "deadline_ms = 25000\nshare = 0.3\nworth = 2\n"
+          "[rank bulk]\npriority = 2\ntarget_ms = 45000\ndeadline_ms = 70000\n"
+          "share = 0.2\nworth = 1\n"
+          "[application scribe]\nranks = standard urgent bulk\n"
+          "[application desk]\nranks = standard urgent\n"
+          "[route /work-orders]\nservice = ledger\nidempotent = no\n"
+          "rank = standard\n"
+          "[route /records]\nservice = ledger\nidempotent = yes\n"
+          "rank = standard\n";
+  const auto Upstream = [&](const char *Kind, const Member &M,
+                            const Member &Side, const std::string &More) {
+    Base << "[" << Kind << " " << M.Name
+         << "]\ndata_center = dc-1\ncell = " << Cell
+         << "\nside = " << Side.Wire.text() << "\naddress = " << M.Http.text()
+         << "\n"
+         << More;
+  };
+  for (size_t I = 0; I < Engines.size(); ++I)
+    Upstream("engine", Engines[I], EngineSides[I],
+             "model = oak\nslots = " + std::to_string(Shape.Slots) +
+                 "\nmax_concurrent = " + std::to_string(Shape.MaxBatch) + "\n");
+  for (size_t I = 0; I < Services.size(); ++I)
+    Upstream("service", Services[I], ServiceSides[I],
+             std::string("service = ledger\nmax_concurrent = 64\n"
+                         "checks_fencing = ") +
+                 (Shape.ServicesCheckFencing ? "yes\n" : "no\n"));
+  writeFile(Work + "/declarations/base.ini", Base.str());
+  std::ostringstream Adapters;
+  for (size_t I = 0; I < Shape.Adapters; ++I)
+    Adapters << "[adapter a" << I
+             << "]\nmodel = oak\nversions = " << Shape.Versions << "\n";
+  writeFile(Work + "/declarations/adapters.ini", Adapters.str());
+}
+
+int Fleet::tool(const std::vector<std::string> &Arguments) {
+  std::vector<std::string> Command = {Programs + "/goldcrestlink"};
+  Command.insert(Command.end(), Arguments.begin(), Arguments.end());
+  return Process(Command, Work + "/tool.log").wait();
+}
+
+int Fleet::apply() {
+  writeDeclarations();
+  return tool(
+      {"apply", Work + "/declarations", "--platform", Platform.Http.text()});
+}
+
+void Fleet::launch(Member &M) {
+  M.Running =
+      std::make_unique<Process>(M.Command, Work + "/" + M.Name + ".log");
+}
+
+void Fleet::restart(Member &M) {
+  M.Running.reset();
+  launch(M);
+}
+
+std::string Fleet::admin(const http::Endpoint &To, const std::string &Target,
+                         const std::string &Method, const std::string &Body) {
+  http::Request R;
+  R.Method = Method;
+  R.Target = Target;
+  R.Body = Body;
+  return fetchBody(To, std::move(R));
+}
+
+void Fleet::start() {
+  launch(Platform);
+  if (Shape.UseStore)
+    launch(Store);
+  for (auto *Group : {&Engines, &Services})
+    for (Member &M : *Group)
+      launch(M);
+  if (Shape.Relay)
+    launch(Relay);
+  const auto Answers = [&](const http::Endpoint &To, const char *Target) {
+    return !admin(To, Target, "GET").empty();
+  };
+  bool Up = eventually([&] { return Answers(Platform.Http, "/admin/counts"); },
+                       StartSeconds);
+  setInstances({});
+  Up = Up && apply() == 0;
+  for (auto *Group : {&EngineSides, &ServiceSides, &Entries})
+    for (Member &M : *Group)
+      launch(M);
+  Up = Up && eventually([&] { return generationInForce(1); }, StartSeconds);
+  // All shards of the service's keys have an owner.
+  const auto Served = [&] {
+    http::Request R;
+    R.Target = "/records/start";
+    return fetchBody(Entries.front().Http, std::move(R)).find("done") !=
+           std::string::npos;
+  };
+  if (!Services.empty())
+    Up = Up && eventually(Served, StartSeconds);
+  if (!Up)
+    throw std::runtime_error("the fleet did not start; see " + Work);
+}
+
+bool Fleet::generationInForce(uint64_t Generation) {
+  const std::string AtEntry = "generation " + std::to_string(Generation) + "\n";
+  const std::string AtSide = "} " + std::to_string(Generation) + "\n";
+  for (const Member &M : Entries)
+    if (admin(M.Http, "/status", "GET").rfind(AtEntry, 0) != 0)
+      return false;
+  for (const auto *Group : {&EngineSides, &ServiceSides})
+    for (const Member &M : *Group) {
+      const std::string Text = admin(M.Http, "/status", "GET");
+      const size_t End = Text.find('\n');
+      if (End == std::string::npos ||
+          Text.substr(0, End + 1).find(AtSide) == std::string::npos)
+        return false;
+    }
+  return true;
+}
+
+uint64_t Fleet::engineCount(const std::string &Name) {
+  uint64_t Sum = 0;
+  for (const Member &M : Engines) {
+    std::istringstream Lines(admin(M.Admin, "/admin/counts", "GET"));
+    std::string Key;
+    uint64_t Value = 0;
+    while (Lines >> Key >> Value)
+      Sum += Key == Name ? Value : 0;
+  }
+  return Sum;
+}
+
+std::vector<std::string> Fleet::runs(const std::vector<Member> &Of) {
+  std::vector<std::string> Out;
+  for (const Member &M : Of) {
+    std::istringstream Lines(admin(M.Admin, "/admin/runs", "GET"));
+    for (std::string Line; std::getline(Lines, Line);)
+      Out.push_back(Line);
+  }
+  return Out;
+}
+
+void Fleet::setInstances(const std::vector<std::string> &Leaving,
+                         const std::vector<std::string> &Gone) {
+  const auto Has = [](const std::vector<std::string> &List,
+                      const std::string &Name) {
+    return std::find(List.begin(), List.end(), Name) != List.end();
+  };
+  std::string Json;
+  for (const auto *Group : {&Engines, &Services})
+    for (const Member &M : *Group)
+      if (!Has(Gone, M.Name))
+        Json += std::string(Json.empty() ? "" : ",") + "{\"name\":\"" + M.Name +
+                "\",\"state\":\"" +
+                (Has(Leaving, M.Name) ? "leaving" : "live") + "\"}";
+  admin(Platform.Http, "/admin/instances", "PUT", "[" + Json + "]");
+}
+
+bool Fleet::stopGracefully() {
+  bool Clean = true;
+  for (auto *Group : {&Entries, &EngineSides, &ServiceSides}) {
+    for (Member &M : *Group)
+      if (M.Running)
+        M.Running->signal(SIGTERM);
+    for (Member &M : *Group)
+      Clean &= !M.Running || M.Running->wait() == 0;
+  }
+  return Clean;
+}
+
+} // namespace goldcrestlink::testing
--- /dev/null
+++ b/testing/process.cc
@@ -0,0 +1,106 @@
+// Ports are reserved by binding port 0 and closing; a set keeps them apart
+// within one process.
+#include "testing/process.h"
+
+#include <chrono>
+#include <set>
+#include <stdexcept>
+#include <thread>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace goldcrestlink::testing {
+
+namespace {
+constexpr int SignalExitBase = 128;
+} // namespace
+
+Process::Process(const std::vector<std::string> &Command,
+                 const std::string &Output) {
+  std::vector<char *> Arguments;
+  for (const std::string &Word : Command)
+    Arguments.push_back(const_cast<char *>(Word.c_str()));
+  Arguments.push_back(nullptr);
+  posix_spawn_file_actions_t Actions;
+  posix_spawn_file_actions_init(&Actions);
+  posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, Output.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
+  posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  const int Error = posix_spawn(&Id, Arguments[0], &Actions, nullptr,
+                                Arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&Actions);
+  if (Error != 0) {
+    Id = -1;
+    throw std::runtime_error("cannot start " + Command[0]);
+  }
+}
+
+Process::~Process() {
+  if (!running())
+    return;
+  ::kill(Id, SIGKILL);
+  wait();
+}
+
+void Process::signal(int Number) const {
+  if (Id > 0)
+    ::kill(Id, Number);
+}
+
+int Process::wait() {
+  if (Id <= 0)
+    return Exit;
+  int Status = 0;
+  ::waitpid(Id, &Status, 0);
+  Id = -1;
+  Exit = WIFEXITED(Status) ? WEXITSTATUS(Status)
+                           : SignalExitBase + WTERMSIG(Status);
+  return Exit;
+}
+
+bool Process::running() {
+  if (Id <= 0)
+    return false;
+  int Status = 0;
+  if (::waitpid(Id, &Status, WNOHANG) != Id)
+    return true;
+  Id = -1;
+  Exit = WIFEXITED(Status) ? WEXITSTATUS(Status)
+                           : SignalExitBase + WTERMSIG(Status);
+  return false;
+}
+
+int freePort() {
+  static std::set<int> Given;
+  for (;;) {
+    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t Size = sizeof(Address);
+    const bool Bound =
+        ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
+        ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) ==
+            0;
+    ::close(Socket);
+    if (!Bound)
+      throw std::runtime_error("no free port");
+    const int Port = ntohs(Address.sin_port);
+    if (Given.insert(Port).second)
+      return Port;
+  }
+}
+
+void pauseFor(int Milliseconds) {
+  std::this_thread::sleep_for(std::chrono::milliseconds(Milliseconds));
+}
+
+} // namespace goldcrestlink::testing
