--- a/daemon/request_metrics.cc
+++ b/daemon/request_metrics.cc
@@ -73,7 +73,7 @@
   std::ostringstream Out;
   for (const auto &[K, S] : AllSeries) {
     const std::string Labels =
-        "rank=\"" + K.Rank + "\",application=\"" + K.Application + "\"";
+        "rank=\"" + K.first + "\",application=\"" + K.second + "\"";
     const auto Line = [&](const char *Name, const std::string &More, auto V) {
       Out << "goldcrestlink_" << Name << "{" << Labels << More << "} " << V
           << "\n";
--- a/daemon/request_metrics.h
+++ b/daemon/request_metrics.h
@@ -31,11 +31,8 @@
 
 private:
   struct Series;
-  struct Key {
-    std::string Rank;
-    std::string Application;
-    auto operator<=>(const Key &) const = default;
-  };
+  /// Rank and application.
+  using Key = std::pair<std::string, std::string>;
   tbb::concurrent_bounded_queue<entry::RequestRecord> Queue;
   std::atomic<uint64_t> Dropped{0};
   std::map<Key, std::unique_ptr<Series>> AllSeries;
--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -290,6 +290,8 @@
     Line("loads_total", C.Loads);
     Line("load_failures_total", C.LoadFailures);
     Line("crashes_total", C.Crashes);
+    Line("stalled_total", C.Stalled);
+    Line("stalled_us_total", C.StalledUs);
     Answer.whole(200, {{"Content-Type", "text/plain"}}, Out.str());
   }
 
--- a/delivery/key_ledger.cc
+++ b/delivery/key_ledger.cc
@@ -82,7 +82,7 @@
   const int64_t Present = present(N);
   if (Call.IssuedMs > Present + millis(Limits.clockSkew()))
     return refuse(Code::KeyFromFuture, Outcome::None);
-  if (Call.IssuedMs <= Owner->second.BarrierMs)
+  if (Limits.refuseOlderKeys() && Call.IssuedMs <= Owner->second.BarrierMs)
     return refuse(Code::KeyBeforeOwner, Outcome::Unknown);
   if (Call.IssuedMs + millis(Limits.retention()) <= Present)
     return refuse(Code::KeyExpired, Outcome::Unknown);
--- a/delivery/key_ledger.h
+++ b/delivery/key_ledger.h
@@ -69,6 +69,7 @@
     size_t maxKeptBody() const { return MaxKeptBody; }
     Duration retention() const { return Retention; }
     Duration clockSkew() const { return ClockSkew; }
+    bool refuseOlderKeys() const { return RefuseOlderKeys; }
     Options &setShards(uint32_t N) {
       Shards = N;
       return *this;
@@ -91,6 +92,8 @@
     }
 
   private:
+    friend struct KeyLedgerMutation;
+    bool RefuseOlderKeys = true; // Off only in tests.
     uint32_t Shards = 16;
     size_t MaxKeys = 200000;
     size_t MaxKeptBody = 16 * 1024;
@@ -161,6 +164,14 @@
   std::multimap<int64_t, std::string> ByIssue;
 };
 
+/// Switches off one protection, so that a test can show that it is needed.
+/// For tests only.
+struct KeyLedgerMutation {
+  static void acceptOlderKeys(KeyLedger::Options &O) {
+    O.RefuseOlderKeys = false;
+  }
+};
+
 /// Shard of \p Key among \p Shards. Thread-safe.
 uint32_t keyShard(std::string_view Key, uint32_t Shards);
 
--- a/placement/demand.cc
+++ b/placement/demand.cc
@@ -16,11 +16,11 @@
          std::exp2(-seconds(N - E.Updated) / seconds(Limits.halfLife()));
 }
 
-void DemandTable::record(Time N, uint64_t Slot, double Worth) {
+void DemandTable::record(Time N, uint64_t Slot) {
   if (Entries.size() >= Limits.maxEntries() && !Entries.count(Slot))
     dropSmallest(N);
   Entry &E = Entries[Slot];
-  E.Value = Limits.recency() ? 0 : decayed(N, E) + Worth;
+  E.Value = Limits.recency() ? 0 : decayed(N, E) + 1;
   E.Updated = N;
 }
 
--- a/placement/demand.h
+++ b/placement/demand.h
@@ -1,8 +1,8 @@
 // Recent demand for each adapter version at one upstream, as exponentially
-// decayed, worth-weighted counts. The value of a slot is its demand.
+// decayed counts of requests. The value of a slot is its demand.
 //
 //   DemandTable D(DemandTable::Options());
-//   D.record(Now, SlotHash, Worth);
+//   D.record(Now, SlotHash);
 //   double Value = D.value(Now, SlotHash);
 #ifndef GOLDCRESTLINK_PLACEMENT_DEMAND_H
 #define GOLDCRESTLINK_PLACEMENT_DEMAND_H
@@ -44,8 +44,8 @@
   };
 
   explicit DemandTable(Options O) : Limits(O) {}
-  /// Counts one request of weight \p Worth.
-  void record(Time N, uint64_t Slot, double Worth);
+  /// Counts one request.
+  void record(Time N, uint64_t Slot);
   /// The decayed demand; 0 for an adapter without recent requests.
   double value(Time N, uint64_t Slot) const;
   size_t size() const { return Entries.size(); }
--- a/placement/load_broker.cc
+++ b/placement/load_broker.cc
@@ -66,6 +66,15 @@
   });
 }
 
+// More worth freed by one load first, then pressed wishes, then the older.
+bool LoadBroker::goesBefore(const PermitWish &A, const PermitWish &B) {
+  if (A.Priority != B.Priority)
+    return A.Priority > B.Priority;
+  if (A.Pressed != B.Pressed)
+    return A.Pressed;
+  return A.Since < B.Since;
+}
+
 std::vector<PermitWish> LoadBroker::grant(Time N) {
   expire(N);
   std::vector<PermitWish> Out;
@@ -73,15 +82,16 @@
     std::vector<std::map<Key, PermitWish>::iterator> Best(Shares.classes(),
                                                           Wishes.end());
     std::vector<bool> Eligible(Shares.classes());
+    std::vector<bool> Pressed(Shares.classes());
     for (auto It = Wishes.begin(); It != Wishes.end(); ++It) {
       auto &B = Best[It->second.Rank];
-      if (B == Wishes.end() || It->second.Priority > B->second.Priority ||
-          (It->second.Priority == B->second.Priority &&
-           It->second.Since < B->second.Since))
+      if (B == Wishes.end() || goesBefore(It->second, B->second))
         B = It;
       Eligible[It->second.Rank] = true;
+      if (It->second.Pressed)
+        Pressed[It->second.Rank] = true;
     }
-    const auto Rank = Shares.pick(N, Eligible);
+    const auto Rank = Shares.pick(Eligible, Pressed);
     if (!Rank || !Bucket.take(N))
       break;
     Shares.charge(N, *Rank, 1);
--- a/placement/load_broker.h
+++ b/placement/load_broker.h
@@ -45,6 +45,8 @@
   size_t Rank = 0;
   /// Worth of the requests that the load would free.
   double Priority = 0;
+  /// Its requests need their rank's share now; others can still wait.
+  bool Pressed = true;
   Time Since{};
   Time Renewed{};
 };
@@ -110,6 +112,7 @@
 private:
   using Key = std::pair<std::string, uint64_t>;
   void expire(Time N);
+  static bool goesBefore(const PermitWish &A, const PermitWish &B);
 
   Options Limits;
   TokenBucket Bucket;
--- a/placement/load_planner.cc
+++ b/placement/load_planner.cc
@@ -44,11 +44,12 @@
   for (const LoadWant &W : Wants) {
     const auto It = Open.find(W.Adapter);
     const bool Fresh = It != Open.end() && It->second.Priority == W.Priority &&
+                       It->second.Pressed == W.Pressed &&
                        N - It->second.Sent < Limits.renewEvery();
     const bool Pending = It != Open.end() && !It->second.Answered;
     if (Fresh || Pending)
       continue;
-    Open[W.Adapter] = {To, N, W.Priority, false};
+    Open[W.Adapter] = {To, N, W.Priority, W.Pressed, false};
     Out.push_back({To, W});
   }
   return Out;
--- a/placement/load_planner.h
+++ b/placement/load_planner.h
@@ -27,6 +27,8 @@
   /// Worth of all requests that wait for it.
   double Priority = 0;
   size_t Waiting = 0;
+  /// Some request has waited long for its target.
+  bool Pressed = false;
 };
 
 /// A permit request to send.
@@ -86,6 +88,7 @@
     std::string Broker;
     Time Sent;
     double Priority = 0;
+    bool Pressed = false;
     bool Answered = false;
   };
   void noteSilence(Time N);
--- a/scheduling/rank_queue.cc
+++ b/scheduling/rank_queue.cc
@@ -85,7 +85,7 @@
     Best[I] = bestOf(I, CanStart);
     Eligible[I] = Best[I] != Ranks[I].end();
   }
-  const auto Rank = RankShare.pick(N, Eligible);
+  const auto Rank = RankShare.pick(Eligible, Eligible);
   if (!Rank)
     return std::nullopt;
   WaitingItem Out = take(Best[*Rank]);
@@ -99,11 +99,24 @@
   return Out;
 }
 
-std::vector<WaitingItem> RankQueue::takeExpired(Time N) {
+bool RankQueue::hopeless(Time N, const WaitingItem &Item) const {
+  if (Item.Target <= N)
+    return true;
+  // What is too long for its target in any case is not refused for that.
+  const Duration Tolerable =
+      fromSeconds(TolerableWaitShare * seconds(Item.Target - Item.Arrived));
+  return N - Item.Arrived > Tolerable && N + Item.Service > Item.Target;
+}
+
+std::vector<WaitingItem> RankQueue::takeHopeless(Time N) {
   std::vector<WaitingItem> Out;
   for (Items &List : Ranks)
-    while (!List.empty() && List.front().Target <= N)
-      Out.push_back(take(List.begin()));
+    for (auto It = List.begin(); It != List.end();) {
+      const auto Next = std::next(It);
+      if (hopeless(N, *It))
+        Out.push_back(take(It));
+      It = Next;
+    }
   return Out;
 }
 
--- a/scheduling/rank_queue.h
+++ b/scheduling/rank_queue.h
@@ -19,6 +19,10 @@
 
 namespace goldcrestlink {
 
+/// Waiting is tolerable up to this part of the time to the target, even if the
+/// target is then missed.
+constexpr double TolerableWaitShare = 0.3;
+
 /// One waiting attempt.
 struct WaitingItem {
   std::string AttemptId;
@@ -70,8 +74,9 @@
   /// and charges its service time to its rank and application.
   std::optional<WaitingItem>
   pickNext(Time N, const std::function<bool(const WaitingItem &)> &CanStart);
-  /// Takes out attempts that are past their target or deadline.
-  std::vector<WaitingItem> takeExpired(Time N);
+  /// Takes out attempts that are past their target, or have waited so long
+  /// that they could not be whole by then.
+  std::vector<WaitingItem> takeHopeless(Time N);
 
   /// Items of \p Rank, earliest target first.
   const std::list<WaitingItem> &waiting(size_t Rank) const;
@@ -91,6 +96,7 @@
                          const std::function<bool(const WaitingItem &)> &);
   double appDebt(size_t Rank, const std::string &Application) const;
   WaitingItem take(Items::iterator It);
+  bool hopeless(Time N, const WaitingItem &Item) const;
 
   Options Limits;
   ShareTracker RankShare;
--- a/scheduling/share_tracker.cc
+++ b/scheduling/share_tracker.cc
@@ -20,13 +20,14 @@
 }
 
 std::optional<size_t>
-ShareTracker::pick(Time N, const std::vector<bool> &Eligible) const {
-  assert(Eligible.size() == Shares.size());
+ShareTracker::pick(const std::vector<bool> &Eligible,
+                   const std::vector<bool> &Pressed) const {
+  assert(Eligible.size() == Shares.size() && Pressed.size() == Shares.size());
   std::optional<size_t> MostUrgent;
   for (size_t I = 0; I < Shares.size(); ++I) {
     if (!Eligible[I])
       continue;
-    if (received(N, I) < Shares[I])
+    if (Pressed[I] && received(I) < Shares[I])
       return I;
     if (!MostUrgent)
       MostUrgent = I;
@@ -43,7 +44,7 @@
   Work[Class] += Amount;
 }
 
-double ShareTracker::received(Time, size_t Class) const {
+double ShareTracker::received(size_t Class) const {
   const double Total = std::accumulate(Work.begin(), Work.end(), 0.0);
   return Total > 0 ? Work[Class] / Total : 0;
 }
--- a/scheduling/share_tracker.h
+++ b/scheduling/share_tracker.h
@@ -4,7 +4,7 @@
 // taken back as soon as its owner has work again.
 //
 //   ShareTracker T({0.3, 0.3, 0.1}, std::chrono::seconds(10));
-//   size_t Rank = *T.pick(Now, HasWork);
+//   size_t Rank = *T.pick(HasWork, Pressed);
 //   T.charge(Now, Rank, Work);
 #ifndef GOLDCRESTLINK_SCHEDULING_SHARE_TRACKER_H
 #define GOLDCRESTLINK_SCHEDULING_SHARE_TRACKER_H
@@ -24,12 +24,15 @@
   ShareTracker(std::vector<double> Shares, Duration HalfLife);
 
   /// The class to serve next. \p Eligible[i] tells whether class i has work
-  /// that could start now. Precondition: as many entries as classes.
-  std::optional<size_t> pick(Time N, const std::vector<bool> &Eligible) const;
+  /// that could start now, \p Pressed[i] whether that work needs its share now;
+  /// work that can still wait does not claim it. Precondition: as many entries
+  /// as classes.
+  std::optional<size_t> pick(const std::vector<bool> &Eligible,
+                             const std::vector<bool> &Pressed) const;
   /// Counts \p Work, in any fixed unit, as given to \p Class.
   void charge(Time N, size_t Class, double Work);
   /// The part of recent work that \p Class received; 0 if there was none.
-  double received(Time N, size_t Class) const;
+  double received(size_t Class) const;
   size_t classes() const { return Shares.size(); }
 
 private:
--- /dev/null
+++ b/scheduling/testing/scheduling_test.cc
@@ -0,0 +1,103 @@
+// Ranks, shares and the waiting queue.
+#include <doctest/doctest.h>
+
+#include "base/random.h"
+#include "scheduling/rank_queue.h"
+
+using namespace goldcrestlink;
+
+namespace {
+
+Time at(int64_t Ms) { return Time(Duration(Ms * 1000)); }
+
+WaitingItem item(int Id, size_t Rank, const char *App = "app") {
+  WaitingItem I;
+  I.AttemptId = std::to_string(Id);
+  I.Rank = Rank;
+  I.Application = App;
+  I.Target = at(100000 + Id);
+  I.Service = std::chrono::seconds(1);
+  return I;
+}
+
+const auto Anything = [](const WaitingItem &) { return true; };
+
+struct FloodRow {
+  const char *Name;
+  // Waiting items added per served item.
+  double Offered[3];
+  // Part of the service that each rank must get at least.
+  double Least[3];
+};
+
+// Shares are 0.3, 0.3 and 0.2.
+const FloodRow FloodRows[] = {
+    {"bulk floods", {0.3, 0.3, 10}, {0.25, 0.25, 0.35}},
+    {"urgent floods", {10, 0.4, 0.3}, {0.4, 0.29, 0.19}},
+    {"all flood", {10, 10, 10}, {0.4, 0.29, 0.19}},
+    {"only bulk", {0, 0, 2}, {0, 0, 0.99}},
+};
+
+} // namespace
+
+TEST_CASE("each rank keeps its share of the service in a flood of another") {
+  for (const FloodRow &Row : FloodRows) {
+    RankQueue Q(RankQueue::Options().setMaxWaiting(100000), {0.3, 0.3, 0.2},
+                {});
+    Random R(3);
+    double Owed[3] = {};
+    double Served[3] = {};
+    int Id = 0;
+    constexpr int Steps = 2000;
+    for (int Step = 0; Step < Steps; ++Step) {
+      for (size_t Rank = 0; Rank < 3; ++Rank)
+        for (Owed[Rank] += Row.Offered[Rank]; Owed[Rank] >= 1; --Owed[Rank])
+          Q.push(item(++Id, Rank));
+      if (const auto Item = Q.pickNext(at(Step * 100), Anything))
+        ++Served[Item->Rank];
+    }
+    for (size_t Rank = 0; Rank < 3; ++Rank)
+      CHECK_MESSAGE(Served[Rank] / Steps >= Row.Least[Rank] * 0.95,
+                    std::string(Row.Name) << " rank " << Rank);
+  }
+}
+
+TEST_CASE("applications of a rank are served by their shares") {
+  RankQueue Q(RankQueue::Options().setMaxWaiting(100000), {1.0},
+              {{"big", 3}, {"small", 1}});
+  int Big = 0;
+  for (int I = 0; I < 4000; ++I)
+    Q.push(item(I, 0, I % 2 ? "big" : "small"));
+  for (int I = 0; I < 400; ++I)
+    Big += Q.pickNext(at(I), Anything)->Application == "big" ? 1 : 0;
+  CHECK(Big >= 295);
+  CHECK(Big <= 305);
+}
+
+TEST_CASE("the queue is bounded, ordered by target, and drops the late") {
+  RankQueue Q(RankQueue::Options().setMaxWaiting(3), {0.5, 0.5}, {});
+  CHECK(Q.push(item(3, 1)));
+  CHECK(Q.push(item(1, 1)));
+  CHECK(Q.push(item(2, 0)));
+  CHECK_FALSE(Q.push(item(4, 0)));
+  CHECK(Q.workAhead(0) == std::chrono::seconds(1));
+  CHECK(Q.workAhead(1) == std::chrono::seconds(3));
+  CHECK(Q.remove("2"));
+  CHECK_FALSE(Q.remove("2"));
+  // Each takes a second: the first is hopeless a second before its target.
+  CHECK(Q.takeHopeless(at(99001)).empty());
+  const auto Late = Q.takeHopeless(at(99002));
+  REQUIRE(Late.size() == 1);
+  CHECK(Late[0].AttemptId == "1");
+  CHECK(Q.size() == 1);
+}
+
+TEST_CASE("what cannot start does not block what can") {
+  RankQueue Q(RankQueue::Options(), {0.5, 0.5}, {});
+  Q.push(item(1, 0));
+  Q.push(item(2, 1));
+  const auto Picked = Q.pickNext(
+      at(0), [](const WaitingItem &I) { return I.AttemptId == "2"; });
+  REQUIRE(Picked);
+  CHECK(Picked->AttemptId == "2");
+}
--- a/side/side_loads.cc
+++ b/side/side_loads.cc
@@ -11,9 +11,12 @@
 namespace {
 constexpr double LoadWaitSmoothing = 0.2;
 constexpr size_t MinSlotsForReserve = 4;
+// A request presses for its load once it has waited this part of its target.
+// Until then it lets more urgent ones go first, and others join it.
+constexpr double PressedShare = 0.25;
 } // namespace
 
-std::vector<LoadWant> SideMachine::loadWants(const Now &) const {
+std::vector<LoadWant> SideMachine::loadWants(const Now &N) const {
   std::map<uint64_t, LoadWant> BySlot;
   for (size_t Rank = 0; Rank < Queue->ranks(); ++Rank)
     for (const WaitingItem &Item : Queue->waiting(Rank)) {
@@ -23,10 +26,13 @@
       const auto [It, New] = BySlot.try_emplace(Item.Slot);
       LoadWant &Want = It->second;
       if (New)
-        Want = {Item.Slot, W.SlotKey, Rank, 0, 0};
+        Want = {Item.Slot, W.SlotKey, Rank, 0, 0, false};
       Want.Rank = std::min(Want.Rank, Rank);
       Want.Priority += Config->ranks()[W.Rank].Worth;
       ++Want.Waiting;
+      const double Waited = seconds(N.Steady - Item.Arrived);
+      Want.Pressed |=
+          Rank == 0 || Waited > PressedShare * seconds(W.Target - W.Arrived);
     }
   std::vector<LoadWant> Out;
   for (auto &[Slot, Want] : BySlot)
@@ -84,6 +90,7 @@
     R.set_priority(Ask.What.Priority);
     R.set_rank(static_cast<uint32_t>(Ask.What.Rank));
     R.set_waiting(static_cast<uint32_t>(Ask.What.Waiting));
+    R.set_pressed(Ask.What.Pressed);
     Out.emplace_back(std::move(Tell));
   }
   if (!Wants.empty() && Planner->takeStatic(N.Steady))
@@ -138,6 +145,7 @@
   Wish.Adapter = R.adapter();
   Wish.Rank = R.rank();
   Wish.Priority = R.priority();
+  Wish.Pressed = R.pressed();
   Broker->request(N.Steady, Wish);
   Reply Queued{Peer, envelope()};
   Queued.Message.mutable_permit_grant()->set_adapter(R.adapter());
--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -20,9 +20,6 @@
 namespace {
 
 constexpr size_t BrokerCandidates = 3;
-// A request is refused for its expected wait only beyond this part of its
-// target, so that work which is too long for its target is still served.
-constexpr double TolerableWaitShare = 0.3;
 constexpr uint32_t DefaultTokens = 128;
 constexpr uint64_t RetryAfterUs = 500000;
 
@@ -47,7 +44,7 @@
     : Opts(O), Config(std::move(InForce)), Upstream(std::move(UpstreamName)),
       Incarnation(Seed),
       Demand(DemandTable::Options().setRecency(O.evictByRecency())),
-      Ledger(KeyLedger::Options()
+      Ledger(KeyLedger::Options(Opts.ledger())
                  .setShards(
                      static_cast<uint32_t>(Config->policy().ShardsPerService))
                  .setRetention(Config->policy().KeyRetention)
@@ -171,7 +168,7 @@
                            Message.permit_release().adapter(),
                            Message.permit_release().loaded());
   case wire::Envelope::kSuspectNotice:
-    return onSuspectNotice(N, Message.suspect_notice());
+    return onSuspectNotice(N, Message.suspect_notice(), Out);
   default:
     return; // Not a side's concern; the shell handles the rest.
   }
@@ -322,7 +319,8 @@
   if (Engine) {
     W.SlotKey = slotKey(A.adapter(), A.version());
     W.SlotHash = hash64(W.SlotKey);
-    Demand.record(N.Steady, W.SlotHash, Config->ranks()[W.Rank].Worth);
+    W.Missed = !Slots->ready(W.SlotHash);
+    Demand.record(N.Steady, W.SlotHash);
   }
   const bool Keyed = !A.idempotent();
   if (!Keyed) {
@@ -396,7 +394,8 @@
   const std::string &Id = R.attempt_id();
   const AttemptLog::Record *Record = Log.find(Id);
   if (!Record) {
-    // The attempt never arrived. Denying it now proves that it will not run.
+    // The attempt never arrived. Denying it now proves that it will not run:
+    // the denial is remembered like any refusal.
     wire::Attempt Denied;
     Denied.set_attempt_id(Id);
     return sendRefusal(N, Peer, Denied, Code::NeverArrived, Outcome::None, Out);
@@ -428,15 +427,37 @@
   Out.emplace_back(std::move(Action));
 }
 
-void SideMachine::onSuspectNotice(const Now &N, const wire::SuspectNotice &S) {
+void SideMachine::onSuspectNotice(const Now &N, const wire::SuspectNotice &S,
+                                  Actions &Out) {
   const std::vector<uint64_t> Fingerprints(S.fingerprints().begin(),
                                            S.fingerprints().end());
-  if (!S.cleared())
-    return Suspects.noteCrash(N.Steady, S.crash_id(), Fingerprints);
+  if (!S.cleared()) {
+    Suspects.noteCrash(N.Steady, S.crash_id(), Fingerprints);
+    return refuseSuspects(N, Out);
+  }
   for (uint64_t F : Fingerprints)
     Suspects.clear(F);
 }
 
+// Waiting attempts that have become suspect must not start as if nothing had
+// happened, or copies sent before the crash would take down more upstreams.
+void SideMachine::refuseSuspects(const Now &N, Actions &Out) {
+  if (!Opts.isolateSuspects())
+    return;
+  std::vector<std::pair<std::string, Code>> Refused;
+  for (const auto &[Id, W] : Works) {
+    const Suspicion V = Suspects.verdict(N.Steady, W.Ask.fingerprint());
+    if (Runs.count(Id) || V == Suspicion::Clean)
+      continue;
+    if (V == Suspicion::Quarantined)
+      Refused.emplace_back(Id, Code::Quarantined);
+    else if (!W.Ask.isolated())
+      Refused.emplace_back(Id, Code::Interrupted);
+  }
+  for (const auto &[Id, Why] : Refused)
+    refuseWork(N, Id, Why, Out);
+}
+
 void SideMachine::takeShard(const Now &N, uint32_t Shard,
                             uint64_t FencingNumber) {
   Ledger.takeShard(Shard, N.Wall, FencingNumber);
--- a/side/side_machine.h
+++ b/side/side_machine.h
@@ -62,6 +62,9 @@
   uint64_t Loads = 0;
   uint64_t LoadFailures = 0;
   uint64_t Crashes = 0;
+  /// Requests that had to wait for a load, and how long they waited in all.
+  uint64_t Stalled = 0;
+  uint64_t StalledUs = 0;
 };
 
 /// Not thread-safe: all calls on one thread.
@@ -77,6 +80,8 @@
     bool isolateSuspects() const { return IsolateSuspects; }
     bool pinSlots() const { return PinSlots; }
     bool checkLease() const { return CheckLease; }
+    bool checkAnswers() const { return CheckAnswers; }
+    const KeyLedger::Options &ledger() const { return Ledger; }
     bool shareRanks() const { return ShareRanks; }
     bool evictByRecency() const { return EvictByRecency; }
     Options &setCheckEvery(Duration D) {
@@ -124,6 +129,8 @@
     bool IsolateSuspects = true;
     bool PinSlots = true;
     bool CheckLease = true;
+    bool CheckAnswers = true;
+    KeyLedger::Options Ledger;
   };
 
   /// \p Upstream is the declared upstream that the side stands beside; it may
@@ -189,6 +196,8 @@
     Time Target;
     Time Deadline;
     Duration Service{};
+    // The adapter was not there when the attempt came.
+    bool Missed = false;
     // Attempts of the same key that get the same answer.
     std::vector<std::string> Joined;
   };
@@ -220,7 +229,9 @@
                 Actions &Out);
   void onProbe(const Now &N, const std::string &Peer, const wire::Probe &P,
                Actions &Out);
-  void onSuspectNotice(const Now &N, const wire::SuspectNotice &S);
+  void onSuspectNotice(const Now &N, const wire::SuspectNotice &S,
+                       Actions &Out);
+  void refuseSuspects(const Now &N, Actions &Out);
   Code admissionProblem(const Now &N, const Work &W) const;
   bool claimKey(const Now &N, const wire::Attempt &A, Actions &Out);
   void enqueue(const Now &N, Work W, Actions &Out);
@@ -321,6 +332,12 @@
   }
   static void dropPins(SideMachine::Options &O) { O.PinSlots = false; }
   static void dropLease(SideMachine::Options &O) { O.CheckLease = false; }
+  static void dropAnswerCheck(SideMachine::Options &O) {
+    O.CheckAnswers = false;
+  }
+  static void dropBarrier(SideMachine::Options &O) {
+    KeyLedgerMutation::acceptOlderKeys(O.Ledger);
+  }
 };
 
 } // namespace goldcrestlink::side
--- a/side/side_runs.cc
+++ b/side/side_runs.cc
@@ -63,6 +63,10 @@
   const bool Keyed = !A.idempotent();
   if (Keyed && Opts.checkLease() && !Ledger.mayDispatch(N, A.key()))
     return refuseWork(N, Id, Code::LeaseLapsed, Out);
+  if (W.Missed) {
+    ++Counters.Stalled;
+    Counters.StalledUs += static_cast<uint64_t>((N.Steady - W.Arrived).count());
+  }
   Run R;
   R.Started = N.Steady;
   R.LastProgress = N.Steady;
@@ -146,7 +150,7 @@
     return;
   }
   std::string Part;
-  if (!R.Check->feed(Bytes, Part)) {
+  if (!R.Check->feed(Bytes, Part) && Opts.checkAnswers()) {
     Out.emplace_back(CancelRun{Id});
     endRun(Id);
     return failWork(N, Id, Code::WrongAdapter, Outcome::Ran, false, Out);
@@ -189,7 +193,8 @@
       !W.Ask.idempotent())
     return refuseWork(N, Id, Code::StaleFencing, Out);
   std::string Rest;
-  if (R.Check && R.Status == StatusOk && !R.Check->complete(Rest))
+  if (R.Check && R.Status == StatusOk && !R.Check->complete(Rest) &&
+      Opts.checkAnswers())
     return failWork(N, Id, Code::WrongAdapter, Outcome::Ran, false, Out);
   if (R.Check && R.Status == StatusOk)
     learnFrom(N, R, W);
@@ -331,6 +336,7 @@
     endRun(Id);
     failWork(N, Id, Code::UpstreamCrashed, Outcome::Unknown, true, Out);
   }
+  refuseSuspects(N, Out);
 }
 
 void SideMachine::finishWork(const Now &N, const std::string &Id,
@@ -377,6 +383,8 @@
   Last.set_kind(wire::AttemptEvent::REFUSED);
   Last.set_code(std::string(codeName(Why)));
   Last.set_outcome(wire::OUTCOME_NOT_RUN);
+  Last.set_suspect(Suspects.verdict(N.Steady, W.Ask.fingerprint()) ==
+                   Suspicion::Suspect);
   finishWork(N, Id, std::move(Last), Out);
 }
 
@@ -401,7 +409,7 @@
 
 void SideMachine::expireWaiting(const Now &N, Actions &Out) {
   if (Opts.shareRanks())
-    for (const WaitingItem &Item : Queue->takeExpired(N.Steady))
+    for (const WaitingItem &Item : Queue->takeHopeless(N.Steady))
       refuseWork(N, Item.AttemptId, Code::DeadlineUnreachable, Out);
   std::vector<std::string> Late;
   for (const auto &[Id, W] : Works)
