--- a/config/declarations.h
+++ b/config/declarations.h
@@ -41,6 +41,7 @@
   double Share = 0;
   /// Weight of one request of this rank against one of another.
   double Worth = 1;
+  bool operator==(const RankDecl &) const = default;
 };
 
 struct ApplicationDecl {
@@ -50,6 +51,7 @@
   std::string DefaultRank;
   /// Weight among the applications of one rank.
   double Share = 1;
+  bool operator==(const ApplicationDecl &) const = default;
 };
 
 struct AdapterDecl {
@@ -88,6 +90,7 @@
   double LoadsPerSecond = 7;
   int64_t Concurrent = 2;
   int64_t FullSpeedInFlight = 16;
+  bool operator==(const StoreDecl &) const = default;
 };
 
 struct PolicyDecl {
--- a/placement/load_planner.h
+++ b/placement/load_planner.h
@@ -82,6 +82,7 @@
   bool takeStatic(Time N);
   /// The broker that requests go to now; empty if none answers.
   std::string broker(Time N) const;
+  const std::vector<std::string> &brokers() const { return Brokers; }
 
 private:
   struct Asked {
--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -52,12 +52,14 @@
       Suspects(SuspectTable::Options().setQuarantine(
           Config->policy().QuarantineFor)),
       Log(AttemptLog::Options()) {
-  buildFromConfig();
+  adoptSelf();
+  buildQueue();
+  buildLoads();
   if (!Opts.checkLease())
     Ledger.extendLease(Time::max());
 }
 
-void SideMachine::buildFromConfig() {
+void SideMachine::adoptSelf() {
   const UpstreamDecl *Decl = Config->upstream(Upstream);
   Declared = Decl != nullptr;
   if (Decl)
@@ -66,46 +68,72 @@
       Self.Kind == UpstreamKind::Engine ? static_cast<size_t>(Self.Slots) : 0;
   if (!Slots || (Slots->slots().size() != SlotCount && Runs.empty()))
     Slots.emplace(SlotCount);
+}
+
+void SideMachine::buildQueue() {
   const std::vector<double> Shares = rankShares(*Config);
   Queue.emplace(RankQueue::Options().setMaxWaiting(Opts.maxWaiting()), Shares,
                 appShares(*Config));
   LoadWaitSeconds.assign(Shares.size(), UsualLoadWaitSeconds);
+}
+
+std::vector<std::string> SideMachine::brokerNames() const {
   const auto Cell = Config->group(UpstreamKind::Engine, Self.Group, Self.Cell);
-  std::vector<std::string> Brokers;
+  std::vector<std::string> Out;
   for (const UpstreamDecl *U :
        rendezvousOrder(hash64("load-broker"), Cell, BrokerCandidates))
-    Brokers.push_back(U->Name);
+    Out.push_back(U->Name);
+  return Out;
+}
+
+void SideMachine::buildLoads() {
   const StoreDecl &Store = Config->store();
-  const double Sides = static_cast<double>(std::max<size_t>(Cell.size(), 1));
-  Planner.emplace(
-      LoadPlanner::Options().setStaticRate(Store.LoadsPerSecond / Sides),
-      Brokers);
+  const size_t Sides =
+      Config->group(UpstreamKind::Engine, Self.Group, Self.Cell).size();
+  Planner.emplace(LoadPlanner::Options().setStaticRate(
+                      Store.LoadsPerSecond /
+                      static_cast<double>(std::max<size_t>(Sides, 1))),
+                  brokerNames());
   Broker.emplace(
       LoadBroker::Options()
           .setRate(Store.LoadsPerSecond)
           .setBurst(static_cast<double>(Store.Concurrent))
           .setMaxInFlight(static_cast<size_t>(Store.FullSpeedInFlight)),
-      Shares);
+      rankShares(*Config));
 }
 
+// Most changes touch adapters only; then the queue, the wishes and the permits
+// stay as they are.
 void SideMachine::onConfig(const Now &N,
                            std::shared_ptr<const Declarations> Newer,
                            Actions &Out) {
   assert(Newer->generation() >= Config->generation());
+  const auto Older = std::move(Config);
+  const auto OldBrokers = Planner->brokers();
+  Config = std::move(Newer);
+  adoptSelf();
+  const bool SameRanks = Older->ranks() == Config->ranks() &&
+                         Older->applications() == Config->applications();
+  if (!SameRanks)
+    requeue(N, Out);
+  if (!SameRanks || !(Older->store() == Config->store()) ||
+      OldBrokers != brokerNames())
+    buildLoads();
+  startReady(N, Out);
+}
+
+void SideMachine::requeue(const Now &N, Actions &Out) {
   std::vector<WaitingItem> Kept;
   for (size_t I = 0; I < Queue->ranks(); ++I)
     Kept.insert(Kept.end(), Queue->waiting(I).begin(), Queue->waiting(I).end());
-  Config = std::move(Newer);
-  buildFromConfig();
+  buildQueue();
+  for (auto &[Id, W] : Works)
+    W.Rank = Config->rankIndex(W.Ask.rank()).value_or(Queue->ranks() - 1);
   for (WaitingItem &Item : Kept) {
-    Work &W = Works.at(Item.AttemptId);
-    const auto Rank = Config->rankIndex(W.Ask.rank());
-    W.Rank = Rank.value_or(Config->ranks().size() - 1);
-    Item.Rank = W.Rank;
+    Item.Rank = Opts.shareRanks() ? Works.at(Item.AttemptId).Rank : 0;
     if (!Queue->push(Item))
       refuseWork(N, Item.AttemptId, Code::Overloaded, Out);
   }
-  startReady(N, Out);
 }
 
 wire::Envelope SideMachine::envelope() const {
--- a/side/side_machine.h
+++ b/side/side_machine.h
@@ -283,7 +283,11 @@
   void tellCell(const wire::Envelope &Message, Actions &Out);
   void log(std::string Line, Actions &Out) const;
 
-  void buildFromConfig();
+  void adoptSelf();
+  void buildQueue();
+  void buildLoads();
+  void requeue(const Now &N, Actions &Out);
+  std::vector<std::string> brokerNames() const;
 
   Options Opts;
   std::shared_ptr<const Declarations> Config;
