Own keys per service across cells; serve from other cells when the own cannot

Cause: shard tables were per cell, so the same key sent through entries of two cells would have had two owners; and an entry whose cell was lost had nowhere to go. Change: one table per service; keyed calls look for their owner in all cells, idempotent work goes to other cells only when the own has no usable side. Parsing no longer copies places and words it does not need.

--- /dev/null
+++ b/bench/capacity.cc
@@ -0,0 +1,262 @@
+// Measures the slopes that docs/CAPACITY.md is worked out from: processor
+// time, memory and bytes per adapter declared, per side known, per request,
+// per configuration change, per permit and per lease. Each from three sizes.
+//
+//   build/capacity
+#include <cstdio>
+#include <fstream>
+#include <functional>
+
+#include <unistd.h>
+
+#include "base/hash.h"
+#include "config/bundle.h"
+#include "config/config_replica.h"
+#include "entry/entry_machine.h"
+#include "membership/shard_lease.h"
+#include "placement/load_broker.h"
+#include "routing/rendezvous.h"
+#include "side/side_machine.h"
+
+using namespace goldcrestlink;
+
+namespace {
+
+std::string baseText(size_t Engines) {
+  std::string Out = "[rank urgent]\npriority = 0\ntarget_ms = 4000\n"
+                    "share = 0.3\n[rank bulk]\npriority = 1\n"
+                    "target_ms = 45000\nshare = 0.2\n";
+  for (size_t I = 0; I < Engines; ++I)
+    Out += "[engine e" + std::to_string(I) +
+           "]\nmodel = oak\ndata_center = d\nside = 10.0.0.1:" +
+           std::to_string(1000 + I) +
+           "\naddress = 10.0.0.1:" + std::to_string(20000 + I) + "\n";
+  return Out;
+}
+
+std::vector<DeclarationFile> files(size_t Engines, size_t Adapters,
+                                   size_t Changed = 0) {
+  std::string Text;
+  for (size_t I = 0; I < Adapters; ++I)
+    Text += "[adapter stave-scribe-" + std::to_string(I) +
+            "]\nmodel = oak\nversions = " +
+            (Changed && I == Changed ? "1 2" : "1") + "\n";
+  return {{"base.ini", baseText(Engines)}, {"adapters.ini", Text}};
+}
+
+std::shared_ptr<const Declarations> parse(size_t Engines, size_t Adapters) {
+  FindingList Findings;
+  auto D = Declarations::parse(files(Engines, Adapters), 1, Findings);
+  if (!Findings.empty())
+    throw FindingError(Findings);
+  return D;
+}
+
+double residentMb() {
+  std::ifstream In("/proc/self/statm");
+  double Total = 0;
+  double Resident = 0;
+  In >> Total >> Resident;
+  return Resident * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
+}
+
+double microsOf(const std::function<void()> &Do, int Times) {
+  const Time Start = presentTime().Steady;
+  for (int I = 0; I < Times; ++I)
+    Do();
+  return 1e6 * seconds(presentTime().Steady - Start) / Times;
+}
+
+void declarations() {
+  std::printf("declarations: adapters, ms to check and build, MB held, chunks, "
+              "mean chunk bytes, head bytes, chunks moved by one change\n");
+  for (const size_t Adapters : {5000, 15000, 45000}) {
+    const double Before = residentMb();
+    std::shared_ptr<const Declarations> D;
+    const double Micros = microsOf([&] { D = parse(80, Adapters); }, 3);
+    const double Held = residentMb() - Before;
+    const Bundle B = packBundle(files(80, Adapters), 1);
+    const Bundle C = packBundle(files(80, Adapters, Adapters / 2), 2);
+    size_t Moved = 0;
+    size_t MovedBytes = 0;
+    size_t Bytes = 0;
+    for (const auto &[Hash, Data] : B.Chunks)
+      Bytes += Data.size();
+    for (const auto &[Hash, Data] : C.Chunks)
+      if (!B.Chunks.count(Hash)) {
+        ++Moved;
+        MovedBytes += Data.size();
+      }
+    std::printf("  %6zu %8.1f %7.1f %6zu %8zu %8zu %4zu (%zu bytes)\n",
+                Adapters, Micros / 1000, Held, B.Chunks.size(),
+                Bytes / B.Chunks.size(), B.Head.text().size(), Moved,
+                MovedBytes);
+  }
+}
+
+Now at(int64_t Micros) {
+  return {Time(Duration(1000000 + Micros)), WallTime(Duration(1000000))};
+}
+
+void entryRequests() {
+  std::printf("entry: sides known, us per request routed and ended, KB held "
+              "per side\n");
+  for (const size_t Sides : {20, 80, 320}) {
+    const auto D = parse(Sides, 1000);
+    const double Before = residentMb();
+    entry::EntryMachine M(entry::EntryMachine::Options().setStrategy(
+                              *findChoiceStrategy("consistent_hash")),
+                          D, "d", 1);
+    int64_t Clock = 0;
+    const auto One = [&] {
+      const Now N = at(Clock += 100);
+      entry::CallerRequest R;
+      R.Id = "r" + std::to_string(Clock);
+      R.Adapter = "stave-scribe-" + std::to_string(Clock / 100 % 1000);
+      R.Version = "1";
+      entry::Actions Out;
+      M.onRequest(N, R, Out);
+      for (const entry::Action &A : entry::Actions(Out))
+        if (const auto *S = std::get_if<entry::SendSide>(&A)) {
+          wire::Envelope E;
+          E.mutable_event()->set_attempt_id(S->Message.attempt().attempt_id());
+          E.mutable_event()->set_kind(wire::AttemptEvent::DONE);
+          E.mutable_event()->set_status(200);
+          for (uint64_t H = 0; H < 8; ++H)
+            E.mutable_event()->mutable_state()->add_resident(H);
+          M.onEnvelope(N, S->Upstream, E, Out);
+        }
+    };
+    const double Micros = microsOf(One, 20000);
+    std::printf("  %4zu %7.2f %7.2f\n", Sides, Micros,
+                1000 * (residentMb() - Before) / static_cast<double>(Sides));
+  }
+}
+
+void sideRequests() {
+  std::printf("side: waiting attempts, us per attempt admitted and refused "
+              "again by cancel\n");
+  for (const int Waiting : {10, 100, 400}) {
+    side::SideMachine M(side::SideMachine::Options(), parse(1, 1000), "e0", 1);
+    int64_t Serial = 0;
+    const auto Admit = [&](const std::string &Id) {
+      wire::Envelope E;
+      wire::Attempt &A = *E.mutable_attempt();
+      A.set_attempt_id(Id);
+      A.set_upstream("e0");
+      A.set_adapter("stave-scribe-" + std::to_string(Serial % 1000));
+      A.set_version("1");
+      A.set_rank("bulk");
+      A.set_idempotent(true);
+      A.set_time_left_us(90000000);
+      A.set_target_left_us(90000000);
+      A.set_max_tokens(1);
+      side::Actions Out;
+      M.onEnvelope(at(1), "p", E, Out);
+    };
+    for (int I = 0; I < Waiting; ++I)
+      Admit("w" + std::to_string(++Serial));
+    const auto One = [&] {
+      const std::string Id = "x" + std::to_string(++Serial);
+      Admit(Id);
+      wire::Envelope E;
+      E.mutable_cancel()->set_attempt_id(Id);
+      side::Actions Out;
+      M.onEnvelope(at(2), "p", E, Out);
+    };
+    std::printf("  %4d %8.2f\n", Waiting, microsOf(One, 500));
+  }
+}
+
+void permits() {
+  std::printf("broker: wishes waiting, us per permit granted\n");
+  for (const uint64_t Wishes : {100, 1000, 4000}) {
+    LoadBroker B(
+        LoadBroker::Options().setRate(1e6).setBurst(1).setMaxInFlight(1000000),
+        {0.3, 0.2});
+    int64_t Clock = 0;
+    for (uint64_t I = 0; I < Wishes; ++I)
+      B.request(at(Clock).Steady,
+                {"s" + std::to_string(I % 80), I, I % 2, 1, true, {}, {}});
+    const auto One = [&] {
+      Clock += 1;
+      for (const PermitWish &W : B.grant(at(Clock).Steady)) {
+        B.release(at(Clock).Steady, W.Side, W.Adapter, true);
+        B.request(at(Clock).Steady, W);
+      }
+    };
+    std::printf("  %5llu %8.2f\n", static_cast<unsigned long long>(Wishes),
+                microsOf(One, 200));
+  }
+}
+
+void leases() {
+  std::printf("shard table: members, bytes, us per renewal\n");
+  for (const size_t Members : {3, 20, 80}) {
+    wire::ShardTable Table;
+    std::vector<ShardLease> All;
+    for (size_t I = 0; I < Members; ++I) {
+      All.emplace_back(ShardLease::Options()
+                           .setShards(static_cast<uint32_t>(4 * Members))
+                           .setDeclaredMembers(Members),
+                       "side-" + std::to_string(I), I + 1);
+      ShardEffects Out;
+      All.back().plan(at(0).Steady, Table, Out);
+      All.back().onWritten(at(0).Steady, at(0).Steady, Table, Out);
+    }
+    size_t Turn = 0;
+    const auto One = [&] {
+      ShardLease &L = All[++Turn % Members];
+      ShardEffects Out;
+      L.plan(at(1000).Steady, Table, Out);
+      L.onWritten(at(1000).Steady, at(1000).Steady, Table, Out);
+    };
+    const double Micros = microsOf(One, 500);
+    std::printf("  %3zu %6zu %7.2f\n", Members,
+                Table.SerializeAsString().size(), Micros);
+  }
+}
+
+size_t framed(wire::Envelope E) {
+  E.set_generation(123456);
+  return wire::Envelope(E).ByteSizeLong() + 2;
+}
+
+void messages() {
+  std::printf("message bytes: ");
+  wire::Envelope Poll;
+  Poll.mutable_config_request();
+  wire::Envelope Probe;
+  Probe.mutable_probe()->set_probe_id("0123456789abcdef-1000");
+  Probe.mutable_probe()->set_adapter("stave-scribe-12345");
+  Probe.mutable_probe()->set_version("12");
+  Probe.mutable_probe()->set_rank("standard");
+  wire::Envelope Reply;
+  wire::ProbeReply &R = *Reply.mutable_probe_reply();
+  R.set_probe_id("0123456789abcdef-1000");
+  R.set_wait_us(100000);
+  R.set_victim_value(1.5);
+  R.mutable_state()->set_upstream("engine-1234");
+  for (uint64_t I = 0; I < 8; ++I)
+    R.mutable_state()->add_resident(hash64(std::to_string(I)));
+  R.mutable_state()->set_running(9);
+  R.mutable_state()->set_incarnation(hash64("x"));
+  wire::Envelope Permit;
+  Permit.mutable_permit_request()->set_side("engine-1234");
+  Permit.mutable_permit_request()->set_adapter(hash64("x"));
+  Permit.mutable_permit_request()->set_priority(2);
+  Permit.mutable_permit_request()->set_waiting(3);
+  std::printf("poll %zu, probe %zu, probe reply %zu, permit request %zu\n",
+              framed(Poll), framed(Probe), framed(Reply), framed(Permit));
+}
+
+} // namespace
+
+int main() {
+  declarations();
+  entryRequests();
+  sideRequests();
+  permits();
+  leases();
+  messages();
+}
--- a/config/declarations.cc
+++ b/config/declarations.cc
@@ -76,6 +76,7 @@
   void store(FieldReader &F, const IniSection &S);
   void policy(FieldReader &F, const IniSection &S);
   void upstream(FieldReader &F, const IniSection &S, UpstreamKind Kind);
+  bool isDuplicate(const IniSection &S);
   void checkReferences();
   void checkShares();
   void buildIndexes();
@@ -85,7 +86,8 @@
   std::string File;
   std::unordered_set<std::string> SectionNames;
   std::vector<Reference> References;
-  std::vector<std::pair<Place, std::string>> AdapterModels;
+  // Where each model is first named by an adapter.
+  std::unordered_map<std::string, Place> AdapterModels;
 };
 
 const DeclarationParser::Row DeclarationParser::Rows[] = {
@@ -101,27 +103,38 @@
 
 void DeclarationParser::section(const std::string &InFile,
                                 const IniSection &S) {
-  File = InFile;
-  const Place Where{File, S.Line};
+  if (File != InFile)
+    File = InFile;
   const auto *Found =
       std::find_if(std::begin(Rows), std::end(Rows),
                    [&](const Row &R) { return S.Kind == R.Kind; });
   if (Found == std::end(Rows))
-    return Findings.add(Where, "unknown section kind '" + S.Kind + "'");
+    return Findings.add({File, S.Line},
+                        "unknown section kind '" + S.Kind + "'");
   const bool IsPath = S.Kind == "route";
   if (Found->Named && !IsPath && !isPlainName(S.Name))
-    return Findings.add(Where, "'" + S.Name + "' is not a usable name");
+    return Findings.add({File, S.Line},
+                        "'" + S.Name + "' is not a usable name");
   if (!Found->Named && !S.Name.empty())
-    return Findings.add(Where, "[" + S.Kind + "] takes no name");
-  const bool IsUpstream = S.Kind == "engine" || S.Kind == "service";
-  const std::string Unique = (IsUpstream ? "upstream" : S.Kind) + " " + S.Name;
-  if (!SectionNames.insert(Unique).second)
-    return Findings.add(Where, "'" + Unique + "' is declared twice");
+    return Findings.add({File, S.Line}, "[" + S.Kind + "] takes no name");
+  if (isDuplicate(S))
+    return;
   FieldReader F(File, S, Findings);
   (this->*Found->Read)(F, S);
   F.finish();
 }
 
+// Adapters are by far the most numerous and have their own index already.
+bool DeclarationParser::isDuplicate(const IniSection &S) {
+  const bool IsUpstream = S.Kind == "engine" || S.Kind == "service";
+  const std::string Unique = (IsUpstream ? "upstream" : S.Kind) + " " + S.Name;
+  const bool New = S.Kind == "adapter" ? !Out.Adapters.count(S.Name)
+                                       : SectionNames.insert(Unique).second;
+  if (!New)
+    Findings.add({File, S.Line}, "'" + Unique + "' is declared twice");
+  return !New;
+}
+
 void DeclarationParser::rank(FieldReader &F, const IniSection &S) {
   RankDecl R;
   R.Name = S.Name;
@@ -159,7 +172,8 @@
   for (const std::string &Version : A.Versions)
     if (!isPlainName(Version))
       F.problem("'" + Version + "' is not a usable version", "versions");
-  AdapterModels.emplace_back(Place{File, S.Line}, A.Model);
+  if (!AdapterModels.count(A.Model))
+    AdapterModels.emplace(A.Model, Place{File, S.Line});
   Out.Adapters.emplace(S.Name, std::move(A));
 }
 
@@ -235,7 +249,7 @@
     if (!IsRank && !Services.count(R.Name))
       Findings.add(R.Where, "service '" + R.Name + "' has no upstream");
   }
-  for (const auto &[Where, Model] : AdapterModels)
+  for (const auto &[Model, Where] : AdapterModels)
     if (!Models.count(Model))
       Findings.add(Where, "model '" + Model + "' has no engine");
 }
@@ -261,6 +275,7 @@
     const UpstreamDecl &U = Out.Upstreams[I];
     Out.UpstreamIndex.emplace(U.Name, I);
     Out.Groups[groupKey(U.Kind, U.Group, U.Cell)].push_back(I);
+    Out.Groups[groupKey(U.Kind, U.Group, {})].push_back(I);
   }
 }
 
@@ -288,6 +303,10 @@
   });
   auto Out = std::make_shared<Declarations>();
   Out->Generation = Generation;
+  size_t Sections = 0;
+  for (const Read &R : Reads)
+    Sections += R.Sections.size();
+  Out->Adapters.reserve(Sections);
   DeclarationParser Parser(*Out, Findings);
   for (size_t I = 0; I < Files.size(); ++I) {
     for (const Finding &F : Reads[I].Findings.items())
--- a/config/declarations.h
+++ b/config/declarations.h
@@ -132,7 +132,8 @@
   const UpstreamDecl *upstream(std::string_view Name) const;
   /// The route with the longest prefix of \p Path.
   const RouteDecl *route(std::string_view Path) const;
-  /// Upstreams of a model or service within a cell, in declared order.
+  /// Upstreams of a model or service within a cell, in declared order; of all
+  /// cells if \p Cell is empty.
   std::vector<const UpstreamDecl *>
   group(UpstreamKind Kind, std::string_view Group, std::string_view Cell) const;
 
--- a/config/field_reader.cc
+++ b/config/field_reader.cc
@@ -59,10 +59,17 @@
   const IniEntry *E = find(Key, N);
   if (!E)
     return;
-  std::istringstream Words(E->Value);
   Out.clear();
-  for (std::string Word; Words >> Word;)
-    Out.push_back(Word);
+  std::string_view Rest = E->Value;
+  for (;;) {
+    const size_t Start = Rest.find_first_not_of(" \t");
+    if (Start == std::string_view::npos)
+      break;
+    Rest.remove_prefix(Start);
+    const size_t End = std::min(Rest.find_first_of(" \t"), Rest.size());
+    Out.emplace_back(Rest.substr(0, End));
+    Rest.remove_prefix(End);
+  }
   if (Out.empty())
     problem(std::string("'") + Key + "' is empty", Key);
 }
--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -122,8 +122,7 @@
   }
 
   void startShards(const Declarations &D, const UpstreamDecl &Self) {
-    const auto Members =
-        D.group(UpstreamKind::Service, Self.Group, Self.Cell).size();
+    const auto Members = D.group(UpstreamKind::Service, Self.Group, {}).size();
     ShardLease Lease(
         ShardLease::Options()
             .setLease(D.policy().Lease)
@@ -131,7 +130,7 @@
             .setDeclaredMembers(Members),
         S.Upstream, Seed);
     Shards = std::make_unique<ShardKeeper>(
-        Platform, objects::shardTable(Self.Cell, Self.Group), std::move(Lease),
+        Platform, objects::shardTable(Self.Group), std::move(Lease),
         [this](ShardEffects Effects) {
           Traffic.applyShards(std::move(Effects));
         });
--- a/entry/entry_machine.h
+++ b/entry/entry_machine.h
@@ -175,6 +175,8 @@
   void routeKeyed(const Now &N, ActiveRequest &A, Actions &Out);
   std::vector<const UpstreamDecl *> candidates(const Now &N,
                                                const ActiveRequest &A) const;
+  std::vector<const UpstreamDecl *> usable(const Now &N, const ActiveRequest &A,
+                                           std::string_view InCell) const;
   Candidate describe(const UpstreamDecl &U, uint64_t SlotHash) const;
   void startProbes(const Now &N, ActiveRequest &A,
                    const std::vector<const UpstreamDecl *> &Among,
--- a/entry/entry_routing.cc
+++ b/entry/entry_routing.cc
@@ -49,8 +49,9 @@
 }
 
 std::vector<const UpstreamDecl *>
-EntryMachine::candidates(const Now &N, const ActiveRequest &A) const {
-  const auto Group = Config->group(A.Kind, A.Group, Cell);
+EntryMachine::usable(const Now &N, const ActiveRequest &A,
+                     std::string_view InCell) const {
+  const auto Group = Config->group(A.Kind, A.Group, InCell);
   const uint64_t Key = A.Isolated ? A.Fingerprint : A.SlotHash;
   std::vector<const UpstreamDecl *> Out;
   for (const UpstreamDecl *U : rendezvousOrder(Key, Group, Group.size())) {
@@ -65,6 +66,16 @@
   return Out;
 }
 
+// The own cell's sides; other cells' only if none of them can be used. Keys
+// have one owner for all cells, so keyed calls look everywhere.
+std::vector<const UpstreamDecl *>
+EntryMachine::candidates(const Now &N, const ActiveRequest &A) const {
+  if (!A.Idempotent)
+    return usable(N, A, {});
+  auto Own = usable(N, A, Cell);
+  return Own.empty() ? usable(N, A, {}) : Own;
+}
+
 void EntryMachine::routeCompletion(const Now &N, ActiveRequest &A,
                                    Actions &Out) {
   auto Among = candidates(N, A);
--- a/entry/testing/entry_machine_test.cc
+++ b/entry/testing/entry_machine_test.cc
@@ -35,7 +35,8 @@
 }
 
 struct Bench {
-  Bench() : Machine(EntryMachine::Options(), config(), "d", 9) {}
+  explicit Bench(const char *Cell = "d")
+      : Machine(EntryMachine::Options(), config(), Cell, 9) {}
 
   void completion(int64_t Ms, const char *Adapter = "a",
                   const char *Version = "1", const char *Application = "app",
@@ -250,6 +251,13 @@
   }
 }
 
+TEST_CASE("another cell serves when the own one cannot") {
+  Bench B("other-cell");
+  B.completion(0);
+  B.answerProbes(1);
+  CHECK(B.attempt());
+}
+
 TEST_CASE("a leaving upstream gets nothing new") {
   Bench B;
   B.Machine.onMembership({"e1", "e2"}, {});
--- a/testing/process_test.cc
+++ b/testing/process_test.cc
@@ -382,6 +382,20 @@
   CHECK(F.tool({"nonsense"}) == 2);
 }
 
+TEST_CASE("a process that cannot start says why and exits non-zero") {
+  const std::string Work = workFolder("start");
+  Fleet F(quickShape(), ".", Work);
+  F.start();
+  const auto Run = [&](const std::string &Settings) {
+    return Process({"./goldcrestlinkd", "--settings", Settings},
+                   Work + "/refused.log")
+        .wait();
+  };
+  CHECK(Run(Work + "/" + F.Entries[0].Name + ".ini") == 1); // Port taken.
+  CHECK(Run(Work + "/absent.ini") == 2);
+  CHECK(Run(Work + "/declarations/base.ini") == 2); // Not settings.
+}
+
 namespace {
 
 struct BadHttpRow {
