--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <fstream>
 #include <functional>
+#include <sstream>
 
 #include <unistd.h>
 
@@ -17,6 +18,7 @@
 #include "placement/load_broker.h"
 #include "routing/rendezvous.h"
 #include "side/side_machine.h"
+#include "testing/fleet.h"
 
 using namespace goldcrestlink;
 
@@ -250,13 +252,49 @@
               framed(Poll), framed(Probe), framed(Reply), framed(Permit));
 }
 
+// What processes use while no caller asks anything: timers, polls, checks of
+// the upstream, leases.
+void idleProcesses(const std::string &Programs) {
+  constexpr int Seconds = 20;
+  std::printf("idle: engine sides in the cell, %% of a core per entry, per "
+              "engine side, per service side\n");
+  for (const size_t Engines : {4, 8, 16}) {
+    testing::FleetShape Shape;
+    Shape.Engines = Engines;
+    Shape.Adapters = 3000;
+    testing::Fleet F(Shape, Programs, "/tmp/goldcrestlink-capacity");
+    F.start();
+    testing::pauseFor(3000);
+    const auto Used = [](const std::vector<testing::Member> &Group) {
+      double Sum = 0;
+      for (const testing::Member &M : Group)
+        Sum += M.Running->processorSeconds();
+      return Sum / static_cast<double>(Group.size());
+    };
+    const double Before[] = {Used(F.Entries), Used(F.EngineSides),
+                             Used(F.ServiceSides)};
+    testing::pauseFor(Seconds * 1000);
+    const double After[] = {Used(F.Entries), Used(F.EngineSides),
+                            Used(F.ServiceSides)};
+    std::printf("  %3zu", Engines);
+    for (size_t I = 0; I < 3; ++I)
+      std::printf(" %5.2f", 100 * (After[I] - Before[I]) / Seconds);
+    std::printf("\n  platform calls so far:");
+    std::istringstream Counts(F.admin(F.Platform.Http, "/admin/counts", "GET"));
+    for (std::string Line; std::getline(Counts, Line);)
+      std::printf(" %s;", Line.c_str());
+    std::printf("\n");
+  }
+}
+
 } // namespace
 
-int main() {
+int main(int Argc, char **Argv) {
   declarations();
   entryRequests();
   sideRequests();
   permits();
   leases();
   messages();
+  idleProcesses(Argc > 1 ? Argv[1] : "build");
 }
--- a/bench/overhead.cc
+++ b/bench/overhead.cc
@@ -7,7 +7,6 @@
 // another; latency is taken with few of them, throughput with many.
 #include <atomic>
 #include <cstdio>
-#include <fstream>
 #include <mutex>
 #include <thread>
 
@@ -15,8 +14,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-#include <unistd.h>
-
 #include "http/client.h"
 #include "testing/fleet.h"
 
@@ -37,17 +34,6 @@
   size_t Failed = 0;
 };
 
-// Processor seconds used by a process so far.
-double processorSeconds(pid_t Id) {
-  std::ifstream In("/proc/" + std::to_string(Id) + "/stat");
-  std::string Word;
-  double Ticks = 0;
-  for (int I = 1; In >> Word; ++I)
-    if (I == 14 || I == 15)
-      Ticks += std::stod(Word);
-  return Ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
-}
-
 class CallerThread {
 public:
   CallerThread(const std::vector<http::Endpoint> &InTo, size_t InConnections,
@@ -173,16 +159,16 @@
                 PathFew.P50Ms - DirectFew.P50Ms,
                 PathFew.P99Ms - DirectFew.P99Ms);
     show("direct, many connections", measure(Direct, Full));
-    const double EntryBefore = processorSeconds(F.Entries[0].Running->id());
+    const double EntryBefore = F.Entries[0].Running->processorSeconds();
     double SidesBefore = 0;
     for (const auto &S : F.EngineSides)
-      SidesBefore += processorSeconds(S.Running->id());
+      SidesBefore += S.Running->processorSeconds();
     const Measured PathFull = measure(Entry, Full);
     const double EntryUsed =
-        processorSeconds(F.Entries[0].Running->id()) - EntryBefore;
+        F.Entries[0].Running->processorSeconds() - EntryBefore;
     double SidesUsed = -SidesBefore;
     for (const auto &S : F.EngineSides)
-      SidesUsed += processorSeconds(S.Running->id());
+      SidesUsed += S.Running->processorSeconds();
     show("through the path, many connections", PathFull);
     const double Requests = PathFull.PerSecond * Seconds;
     std::printf("entry: %.1f us of processor per request, %.0f requests/s per "
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -3,6 +3,7 @@
 #include "testing/process.h"
 
 #include <chrono>
+#include <fstream>
 #include <set>
 #include <stdexcept>
 #include <thread>
@@ -78,6 +79,18 @@
   return false;
 }
 
+double Process::processorSeconds() const {
+  constexpr int UserTicksField = 14;
+  constexpr int SystemTicksField = 15;
+  std::ifstream In("/proc/" + std::to_string(Id) + "/stat");
+  double Ticks = 0;
+  std::string Word;
+  for (int Field = 1; In >> Word; ++Field)
+    if (Field == UserTicksField || Field == SystemTicksField)
+      Ticks += std::stod(Word);
+  return Ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
 int freePort() {
   static std::set<int> Given;
   for (;;) {
--- a/testing/process.h
+++ b/testing/process.h
@@ -28,7 +28,8 @@
   int wait();
   /// True while it has not ended.
   bool running();
-  pid_t id() const { return Id; }
+  /// Processor time that it has used so far, in seconds.
+  double processorSeconds() const;
 
 private:
   pid_t Id = -1;
--- a/testing/world.cc
+++ b/testing/world.cc
@@ -166,6 +166,10 @@
   return Delay;
 }
 
+bool World::lostBetweenSides() {
+  return (O.Faults & LostSideMessages) && chance(0.3);
+}
+
 World::SideNode *World::sideOf(const std::string &Upstream) {
   for (auto &S : Sides)
     if (S->Upstream == Upstream)
@@ -217,6 +221,8 @@
     // A reply to another side, over that side's own connection.
     SideNode *To = sideOf(Peer.substr(5));
     const std::string From = S.Upstream;
+    if (lostBetweenSides())
+      return;
     at(networkDelay(),
        [this, To, From, Message] { deliverToSide(*To, From, Message); });
     return;
@@ -296,6 +302,8 @@
       SideNode *To = sideOf(T->Upstream);
       const std::string Peer = "side/" + S.Upstream;
       const wire::Envelope Message = T->Message;
+      if (lostBetweenSides() && To != &S)
+        continue;
       at(networkDelay(),
          [this, To, Peer, Message] { deliverToSide(*To, Peer, Message); });
     } else if (auto *Run = std::get_if<side::StartRun>(&A)) {
--- a/testing/world.h
+++ b/testing/world.h
@@ -37,7 +37,9 @@
   PoisonRequests = 512,
   SilentEngines = 1024,
   CrossedAnswers = 2048,
-  AllFaults = 4095
+  /// Messages between sides are lost.
+  LostSideMessages = 4096,
+  AllFaults = 8191
 };
 
 struct WorldOptions {
@@ -100,6 +102,7 @@
   void applyShards(SideNode &S, const ShardEffects &Effects);
   SideNode *sideOf(const std::string &Upstream);
   Duration networkDelay();
+  bool lostBetweenSides();
 
   WorldOptions O;
   Random Rand;
--- a/testing/world_test.cc
+++ b/testing/world_test.cc
@@ -36,6 +36,9 @@
     {"silence and crashes", SilentConnections | EngineCrashes, 8},
     {"delays, duplicates, silence", Delays | Duplicates | SilentConnections, 8},
     {"crossed answers", CrossedAnswers, 6},
+    {"lost side messages", LostSideMessages, 6},
+    {"lost side messages and crashes",
+     LostSideMessages | EngineCrashes | FailingLoads, 6},
     {"all", AllFaults, 30},
 };
 
@@ -151,3 +154,21 @@
   W.run();
   CHECK(W.poisonCrashes() > 2);
 }
+
+TEST_CASE("without recovery from silence, more requests go unanswered") {
+  size_t Answered[2] = {};
+  for (const bool Protected : {true, false})
+    for (uint64_t Seed = 1; Seed <= 5; ++Seed) {
+      WorldOptions O;
+      O.Seed = Seed;
+      O.Faults = SilentConnections;
+      if (!Protected)
+        entry::EntryMutation::ignoreSilence(O.Entry);
+      World W(O);
+      W.run();
+      CHECK(W.violations().empty());
+      Answered[Protected ? 1 : 0] += W.requestsAnswered() + W.ordersAnswered();
+    }
+  MESSAGE("answered " << Answered[1] << ", without recovery " << Answered[0]);
+  CHECK(Answered[1] > Answered[0] + 100);
+}
