--- a/base/random.h
+++ b/base/random.h
@@ -8,6 +8,7 @@
 
 #include <cassert>
 #include <cstdint>
+#include <random>
 
 namespace goldcrestlink {
 
@@ -38,6 +39,12 @@
   uint64_t State;
 };
 
+/// A seed that differs between processes and incarnations. Thread-safe.
+inline uint64_t freshSeed() {
+  std::random_device Device;
+  return (static_cast<uint64_t>(Device()) << 32) | Device();
+}
+
 } // namespace goldcrestlink
 
 #endif // GOLDCRESTLINK_BASE_RANDOM_H
--- a/bench/overhead.cc
+++ b/bench/overhead.cc
@@ -125,7 +125,7 @@
   App.add_option("--threads", Shape.TrafficThreads, "entry's traffic threads");
   App.add_option("--connections", Many, "connections per caller thread");
   CLI11_PARSE(App, Argc, Argv);
-  Shape.Services = 0;
+  Shape.Services = 1;
   Shape.Entries = 1;
   Shape.Adapters = 8;
   Shape.UseStore = false;
--- a/daemon/entry_daemon.cc
+++ b/daemon/entry_daemon.cc
@@ -3,7 +3,6 @@
 // the metrics per DrainInterval. No request waits for it.
 #include "daemon/entry_daemon.h"
 
-#include <random>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +12,7 @@
 #include <glog/logging.h>
 #include <zmq.hpp>
 
+#include "base/random.h"
 #include "daemon/config_keeper.h"
 #include "daemon/decision_log.h"
 #include "daemon/entry_shard.h"
@@ -31,11 +31,6 @@
 // Time for the last answers to leave once no request is in progress.
 constexpr Duration StopFlush = std::chrono::milliseconds(200);
 
-uint64_t freshSeed() {
-  std::random_device Device;
-  return (static_cast<uint64_t>(Device()) << 32) | Device();
-}
-
 class EntryControl {
 public:
   explicit EntryControl(const Settings &Given)
--- a/daemon/entry_shard.cc
+++ b/daemon/entry_shard.cc
@@ -13,7 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <glog/logging.h>
 
-#include "daemon/side_link.h"
+#include "daemon/side_links.h"
 #include "entry/entry_machine.h"
 #include "entry/request_parser.h"
 #include "http/server.h"
@@ -47,6 +47,10 @@
       : S(InSettings), Seed(FromSeed), Context(InContext),
         Sinks(std::move(InSinks)), Ticker(Io), Guard(Io.get_executor()),
         Rand(FromSeed ^ Index),
+        Links(Io, Context, S.SourceAddress,
+              [this](const std::string &Upstream, wire::Envelope &Message) {
+                onMessage(Upstream, Message);
+              }),
         Listener(Io, S.Listen, serverOptions(S),
                  [this](http::Request R, std::shared_ptr<http::Responder> A) {
                    onHttp(std::move(R), std::move(A));
@@ -70,7 +74,6 @@
   void onMessage(const std::string &Upstream, wire::Envelope &Message);
   void onConfig(std::shared_ptr<const Declarations> Config);
   void tick();
-  SideLink *link(const std::string &Peer);
   std::shared_ptr<http::Responder> takeResponder(const std::string &Id);
 
   Settings S;
@@ -83,10 +86,9 @@
       Guard;
   Random Rand;
   std::unique_ptr<entry::EntryMachine> Machine;
-  std::unordered_map<std::string, std::unique_ptr<SideLink>> Links;
+  SideLinks Links;
   std::unordered_map<std::string, std::shared_ptr<http::Responder>> Responders;
   std::vector<std::string> FailedAttempts;
-  std::shared_ptr<const Declarations> InForce;
   uint64_t RequestCounter = 0;
   bool Stopping = false;
   std::atomic<size_t> InProgress{0};
@@ -179,23 +181,8 @@
   InProgress = Machine->requestsInProgress();
 }
 
-SideLink *EntryShard::State::link(const std::string &Peer) {
-  const auto It = Links.find(Peer);
-  if (It != Links.end())
-    return It->second.get();
-  std::string Address = Peer;
-  if (const UpstreamDecl *U = InForce ? InForce->upstream(Peer) : nullptr)
-    Address = U->Side.text();
-  else if (Peer.find(':') == std::string::npos)
-    return nullptr;
-  auto Made = std::make_unique<SideLink>(
-      Io, Context, Address, S.SourceAddress,
-      [this, Peer](wire::Envelope &Message) { onMessage(Peer, Message); });
-  return Links.emplace(Peer, std::move(Made)).first->second.get();
-}
-
 void EntryShard::State::perform(entry::SendSide &A) {
-  SideLink *L = link(A.Upstream);
+  SideLink *L = Links.find(A.Upstream);
   if (!A.Message.has_attempt()) {
     if (L)
       L->sendSoon(A.Message);
@@ -206,7 +193,7 @@
 }
 
 void EntryShard::State::perform(entry::ResetConnection &A) {
-  if (SideLink *L = link(A.Upstream))
+  if (SideLink *L = Links.find(A.Upstream))
     L->reset();
 }
 
@@ -278,25 +265,20 @@
 }
 
 void EntryShard::State::onConfig(std::shared_ptr<const Declarations> Config) {
-  InForce = Config;
   if (Machine)
     Machine->onConfig(Config);
   else
     Machine = std::make_unique<entry::EntryMachine>(machineOptions(S), Config,
                                                     S.Cell, Seed);
-  std::erase_if(Links, [&](const auto &Item) {
-    const UpstreamDecl *U = Config->upstream(Item.first);
-    return !U || U->Side.text() != Item.second->address();
-  });
+  Links.onConfig(Config);
   // Connections are opened ahead of the first request.
   for (const UpstreamDecl &U : Config->upstreams())
     if (U.Cell == S.Cell)
-      link(U.Name);
+      Links.find(U.Name);
 }
 
 void EntryShard::State::tick() {
-  for (auto &[Name, L] : Links)
-    L->flush();
+  Links.flush();
   if (Machine) {
     entry::Actions Out;
     Machine->onTimer(presentTime(), Out);
@@ -337,18 +319,15 @@
 
 void EntryShard::tell(std::string Peer, wire::Envelope Message) {
   boost::asio::post(Shell->Io, [this, Peer, Message]() mutable {
-    if (SideLink *L = Shell->link(Peer))
+    if (SideLink *L = Shell->Links.find(Peer))
       L->sendSoon(Message);
   });
 }
 
 void EntryShard::tellAny(wire::Envelope Message) {
   boost::asio::post(Shell->Io, [this, Message]() mutable {
-    if (Shell->Links.empty())
-      return;
-    auto It = Shell->Links.begin();
-    std::advance(It, Shell->Rand.below(Shell->Links.size()));
-    It->second->sendSoon(Message);
+    if (SideLink *L = Shell->Links.any(Shell->Rand))
+      L->sendSoon(Message);
   });
 }
 
--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -5,7 +5,6 @@
 #include "daemon/side_daemon.h"
 
 #include <algorithm>
-#include <random>
 #include <sstream>
 #include <thread>
 
@@ -17,6 +16,7 @@
 #include <zmq.hpp>
 
 #include "base/hash.h"
+#include "base/random.h"
 #include "daemon/config_keeper.h"
 #include "daemon/decision_log.h"
 #include "daemon/shard_keeper.h"
@@ -35,11 +35,6 @@
 // Time for the last answers to leave once nothing is in progress.
 constexpr Duration StopFlush = std::chrono::milliseconds(300);
 
-uint64_t freshSeed() {
-  std::random_device Device;
-  return (static_cast<uint64_t>(Device()) << 32) | Device();
-}
-
 class SideControl {
 public:
   explicit SideControl(const Settings &Given)
--- a/daemon/side_traffic.cc
+++ b/daemon/side_traffic.cc
@@ -13,7 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/random.h"
-#include "daemon/side_link.h"
+#include "daemon/side_links.h"
 #include "side/upstream_client.h"
 
 namespace goldcrestlink {
@@ -40,7 +40,11 @@
         Router(Io, Context, S.SideListen.text(),
                [this](const std::string &Peer, wire::Envelope &Message) {
                  onMessage(Peer, Message);
-               }) {}
+               }),
+        Links(Io, Context, S.SourceAddress,
+              [this](const std::string &Upstream, wire::Envelope &Message) {
+                onLinkMessage(Upstream, Message);
+              }) {}
 
   side::UpstreamEvents events();
   void onMessage(const std::string &Peer, wire::Envelope &Message);
@@ -57,7 +61,6 @@
   void perform(side::LogDecision &A) { Sinks.Log(std::move(A.Line)); }
   void toControl(const std::string &Peer, const wire::Envelope &Message,
                  bool ByRouter);
-  SideLink *link(const std::string &Peer);
   void tick();
   void updateSummary();
 
@@ -83,7 +86,7 @@
   wire::RouterSocket Router;
   std::unique_ptr<side::SideMachine> Machine;
   std::shared_ptr<const Declarations> InForce;
-  std::unordered_map<std::string, std::unique_ptr<SideLink>> Links;
+  SideLinks Links;
   std::deque<wire::Envelope> ToSelf;
   bool Performing = false;
   bool Draining = false;
@@ -158,25 +161,10 @@
 void SideTraffic::State::perform(side::TellSide &A) {
   if (A.Upstream == S.Upstream)
     ToSelf.push_back(std::move(A.Message));
-  else if (SideLink *L = link(A.Upstream))
+  else if (SideLink *L = Links.find(A.Upstream))
     L->sendSoon(A.Message);
 }
 
-SideLink *SideTraffic::State::link(const std::string &Peer) {
-  const auto It = Links.find(Peer);
-  if (It != Links.end())
-    return It->second.get();
-  std::string Address = Peer;
-  if (const UpstreamDecl *U = InForce ? InForce->upstream(Peer) : nullptr)
-    Address = U->Side.text();
-  else if (Peer.find(':') == std::string::npos)
-    return nullptr;
-  auto Made = std::make_unique<SideLink>(
-      Io, Context, Address, S.SourceAddress,
-      [this, Peer](wire::Envelope &Message) { onLinkMessage(Peer, Message); });
-  return Links.emplace(Peer, std::move(Made)).first->second.get();
-}
-
 void SideTraffic::State::toControl(const std::string &Peer,
                                    const wire::Envelope &Message,
                                    bool ByRouter) {
@@ -184,7 +172,7 @@
     boost::asio::post(Io, [this, Peer, ByRouter, Answer]() mutable {
       if (ByRouter)
         Router.send(Peer, Answer);
-      else if (SideLink *L = link(Peer))
+      else if (SideLink *L = Links.find(Peer))
         L->sendSoon(Answer);
     });
   });
@@ -223,10 +211,7 @@
   InForce = Config;
   if (const UpstreamDecl *Self = Config->upstream(S.Upstream))
     Client.setUpstream(*Self);
-  std::erase_if(Links, [&](const auto &Item) {
-    const UpstreamDecl *U = Config->upstream(Item.first);
-    return !U || U->Side.text() != Item.second->address();
-  });
+  Links.onConfig(Config);
   if (Machine)
     return command([&](side::SideMachine &M, const Now &N, side::Actions &Out) {
       M.onConfig(N, Config, Out);
@@ -253,8 +238,7 @@
 }
 
 void SideTraffic::State::tick() {
-  for (auto &[Name, L] : Links)
-    L->flush();
+  Links.flush();
   command([](side::SideMachine &M, const Now &N, side::Actions &Out) {
     M.onTimer(N, Out);
   });
@@ -315,7 +299,7 @@
 
 void SideTraffic::tell(std::string Peer, wire::Envelope Message) {
   boost::asio::post(Shell->Io, [this, Peer, Message]() mutable {
-    if (SideLink *L = Shell->link(Peer))
+    if (SideLink *L = Shell->Links.find(Peer))
       L->sendSoon(Message);
   });
 }
@@ -326,7 +310,7 @@
       return;
     for (const UpstreamDecl &U : Shell->InForce->upstreams())
       if (U.Cell == Shell->S.Cell && U.Name != Shell->S.Upstream)
-        if (SideLink *L = Shell->link(U.Name))
+        if (SideLink *L = Shell->Links.find(U.Name))
           L->sendSoon(Message);
   });
 }
@@ -340,7 +324,8 @@
           Others.push_back(U.Name);
     if (Others.empty())
       return;
-    if (SideLink *L = Shell->link(Others[Shell->Rand.below(Others.size())]))
+    if (SideLink *L =
+            Shell->Links.find(Others[Shell->Rand.below(Others.size())]))
       L->sendSoon(Message);
   });
 }
--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -253,11 +253,6 @@
   Event.set_retry_after_us(RetryAfterUs);
   Event.set_suspect(Suspects.verdict(N.Steady, A.fingerprint()) ==
                     Suspicion::Suspect);
-  if (Why == Code::NotOwner) {
-    const auto It = ShardOwners.find(Ledger.shardOf(A.key()));
-    if (It != ShardOwners.end())
-      Event.set_owner_hint(It->second);
-  }
   sendEvent(A.attempt_id(), std::move(Event), Out);
   Log.close(N.Steady, A.attempt_id());
   log("refused attempt=" + A.attempt_id() + " request=" + A.request_id() +
@@ -298,11 +293,9 @@
     Event.set_code(std::string(codeName(D.Why)));
     Event.set_outcome(static_cast<wire::Outcome>(D.Known));
     Event.set_retry_after_us(RetryAfterUs);
-    if (D.Why == Code::NotOwner) {
-      const auto It = ShardOwners.find(Ledger.shardOf(A.key()));
-      if (It != ShardOwners.end())
-        Event.set_owner_hint(It->second);
-    }
+    if (const auto It = ShardOwners.find(Ledger.shardOf(A.key()));
+        D.Why == Code::NotOwner && It != ShardOwners.end())
+      Event.set_owner_hint(It->second);
     ++Counters.Refused;
     break;
   }
