Read only the chunks that a change touches

Change: a replica keeps each chunk as read; chunks now always begin at a section, so each can be read alone. Ruled out: patching the old declarations in place; readers on other threads hold them. After: config_test passes; bench/capacity gets a row for one changed adapter.

--- a/bench/capacity.cc
+++ b/bench/capacity.cc
@@ -96,6 +96,56 @@
   }
 }
 
+// What a process spends on a change of one adapter.
+void changes() {
+  std::printf(
+      "one changed adapter: adapters, ms to read the chunk and build\n");
+  for (const size_t Adapters : {5000, 15000, 45000}) {
+    ConfigReplica R;
+    uint64_t Generation = 0;
+    const auto One = [&] {
+      ++Generation;
+      const Bundle B =
+          packBundle(files(80, Adapters, 1 + Generation * 7), Generation);
+      R.offerHead(B.Head.text());
+      for (const std::string &Hash : R.missing())
+        R.addChunk(Hash, B.Chunks.at(Hash));
+      FindingList Findings;
+      const Time Start = presentTime().Steady;
+      R.takeReady(Findings);
+      return seconds(presentTime().Steady - Start);
+    };
+    One();
+    double Sum = 0;
+    constexpr int Times = 5;
+    for (int I = 0; I < Times; ++I)
+      Sum += One();
+    std::printf("  %6zu %7.1f\n", Adapters, 1000 * Sum / Times);
+  }
+}
+
+// A whole fleet with as many adapters as the target has: the first apply, and
+// one adapter added, until every process has it.
+void applies(const std::string &Programs) {
+  testing::FleetShape Shape;
+  Shape.Engines = 4;
+  Shape.Adapters = 45000;
+  testing::Fleet F(Shape, Programs, "/tmp/goldcrestlink-capacity");
+  F.start();
+  for (uint64_t Generation = 2; Generation <= 4; ++Generation) {
+    ++F.Shape.Adapters;
+    const Time Start = presentTime().Steady;
+    F.apply();
+    const Time Applied = presentTime().Steady;
+    while (!F.generationInForce(Generation))
+      testing::pauseFor(5);
+    std::printf("45,000 adapters, one added: tool %.2f s, then in force at "
+                "all processes after %.2f s\n",
+                seconds(Applied - Start),
+                seconds(presentTime().Steady - Applied));
+  }
+}
+
 Now at(int64_t Micros) {
   return {Time(Duration(1000000 + Micros)), WallTime(Duration(1000000))};
 }
@@ -290,11 +340,14 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  const std::string Programs = Argc > 1 ? Argv[1] : "build";
   declarations();
+  changes();
   entryRequests();
   sideRequests();
   permits();
   leases();
   messages();
-  idleProcesses(Argc > 1 ? Argv[1] : "build");
+  applies(Programs);
+  idleProcesses(Programs);
 }
--- a/config/bundle.cc
+++ b/config/bundle.cc
@@ -1,7 +1,8 @@
 // A chunk starts with a line "file NAME" and holds a run of that file's text.
 // A new chunk begins at a section header whose hash falls on 1 of
-// BoundaryOneIn, and always before MaxChunkBytes. So an inserted or changed
-// section moves one chunk, not all that follow. Linear in the text.
+// BoundaryOneIn, or at the next header once MaxChunkBytes are reached. So an
+// inserted or changed section moves one chunk, not all that follow, and each
+// chunk can be read on its own. Linear in the text.
 #include "config/bundle.h"
 
 #include <charconv>
@@ -39,9 +40,9 @@
 private:
   void line(std::string_view Line) {
     const bool Header = Line.front() == '[';
-    const bool Boundary = Header && Text.size() >= MinChunkBytes &&
-                          hash64(Line) % BoundaryOneIn == 0;
-    if (Boundary || Text.size() + Line.size() > MaxChunkBytes)
+    const bool Chosen = hash64(Line) % BoundaryOneIn == 0;
+    const bool Full = Text.size() >= MaxChunkBytes;
+    if (Header && (Full || (Chosen && Text.size() >= MinChunkBytes)))
       flush();
     Text.append(Line);
   }
@@ -103,6 +104,15 @@
   return Out;
 }
 
+DeclarationFile openChunk(const std::string &Hash, std::string_view Chunk) {
+  const size_t End = Chunk.find('\n');
+  if (contentHash(Chunk) != Hash || End == std::string_view::npos ||
+      Chunk.substr(0, FilePrefix.size()) != FilePrefix)
+    throw std::invalid_argument("chunk " + Hash + " is damaged");
+  return {std::string(Chunk.substr(FilePrefix.size(), End - FilePrefix.size())),
+          std::string(Chunk.substr(End + 1))};
+}
+
 std::vector<DeclarationFile> unpackBundle(const BundleHead &Head,
                                           const ChunkMap &Chunks) {
   std::vector<DeclarationFile> Files;
@@ -110,16 +120,11 @@
     const auto It = Chunks.find(Hash);
     if (It == Chunks.end())
       throw std::invalid_argument("chunk " + Hash + " is missing");
-    const std::string_view Chunk = It->second;
-    const size_t End = Chunk.find('\n');
-    if (contentHash(Chunk) != Hash || End == std::string_view::npos ||
-        Chunk.substr(0, FilePrefix.size()) != FilePrefix)
-      throw std::invalid_argument("chunk " + Hash + " is damaged");
-    const std::string Name(
-        Chunk.substr(FilePrefix.size(), End - FilePrefix.size()));
-    if (Files.empty() || Files.back().Name != Name)
-      Files.push_back({Name, {}});
-    Files.back().Text.append(Chunk.substr(End + 1));
+    DeclarationFile Part = openChunk(Hash, It->second);
+    if (Files.empty() || Files.back().Name != Part.Name)
+      Files.push_back(std::move(Part));
+    else
+      Files.back().Text.append(Part.Text);
   }
   return Files;
 }
--- a/config/bundle.h
+++ b/config/bundle.h
@@ -39,6 +39,10 @@
 Bundle packBundle(const std::vector<DeclarationFile> &Files,
                   uint64_t Generation);
 
+/// The part of a file that a chunk holds. Throws std::invalid_argument if the
+/// chunk does not match its hash.
+DeclarationFile openChunk(const std::string &Hash, std::string_view Chunk);
+
 /// Joins the chunks named by \p Head back into files. Throws
 /// std::invalid_argument if a chunk is missing or does not match its hash.
 std::vector<DeclarationFile> unpackBundle(const BundleHead &Head,
--- a/config/config_replica.cc
+++ b/config/config_replica.cc
@@ -1,6 +1,8 @@
 // Generations only rise: a head that is not newer than both what is in force
 // and what is pending is ignored, whoever sent it. Chunks are shared between
-// generations by hash, so that a change fetches only what it touches.
+// generations by hash, so that a change fetches and reads only what it
+// touches. The places of findings count lines within a chunk; the tool that
+// applies a set reports them within its files.
 #include "config/config_replica.h"
 
 #include <set>
@@ -44,14 +46,27 @@
     }
 }
 
+std::shared_ptr<const Declarations>
+ConfigReplica::buildPending(FindingList &Findings) {
+  std::vector<std::shared_ptr<const ReadFile>> Files;
+  Files.reserve(Pending->ChunkHashes.size());
+  for (const std::string &Hash : Pending->ChunkHashes) {
+    auto &Slot = Read[Hash];
+    if (!Slot)
+      Slot = std::make_shared<ReadFile>(
+          Declarations::read(openChunk(Hash, Chunks.at(Hash))));
+    Files.push_back(Slot);
+  }
+  return Declarations::build(Files, Pending->Generation, Findings);
+}
+
 std::shared_ptr<const Declarations>
 ConfigReplica::takeReady(FindingList &Findings) {
   if (!Pending || !missing().empty())
     return nullptr;
   std::shared_ptr<const Declarations> Parsed;
   try {
-    Parsed = Declarations::parse(unpackBundle(*Pending, Chunks),
-                                 Pending->Generation, Findings);
+    Parsed = buildPending(Findings);
   } catch (const std::invalid_argument &Bad) {
     Findings.add({"configuration", 0}, Bad.what());
   }
@@ -77,6 +92,7 @@
   const std::set<std::string> Used(Current.ChunkHashes.begin(),
                                    Current.ChunkHashes.end());
   std::erase_if(Chunks, [&](const auto &C) { return !Used.count(C.first); });
+  std::erase_if(Read, [&](const auto &R) { return !Used.count(R.first); });
 }
 
 } // namespace goldcrestlink
--- a/config/config_replica.h
+++ b/config/config_replica.h
@@ -42,6 +42,7 @@
   const std::string *chunk(const std::string &Hash) const;
 
 private:
+  std::shared_ptr<const Declarations> buildPending(FindingList &Findings);
   void dropUnused();
 
   std::shared_ptr<const Declarations> InForce;
@@ -50,6 +51,8 @@
   std::optional<BundleHead> Pending;
   uint64_t RefusedGeneration = 0;
   ChunkMap Chunks;
+  /// Chunks as read, so that a change reads only what it touches.
+  std::map<std::string, std::shared_ptr<const ReadFile>> Read;
 };
 
 } // namespace goldcrestlink
--- a/config/declarations.cc
+++ b/config/declarations.cc
@@ -289,30 +289,38 @@
   buildIndexes();
 }
 
+ReadFile Declarations::read(const DeclarationFile &File) {
+  ReadFile Out;
+  Out.Name = File.Name;
+  Out.Sections = readIni(File.Name, File.Text, Out.Findings);
+  return Out;
+}
+
 std::shared_ptr<const Declarations>
 Declarations::parse(const std::vector<DeclarationFile> &Files,
                     uint64_t Generation, FindingList &Findings) {
-  struct Read {
-    std::vector<IniSection> Sections;
-    FindingList Findings;
-  };
-  std::vector<Read> Reads(Files.size());
+  std::vector<std::shared_ptr<const ReadFile>> Reads(Files.size());
   tbb::parallel_for(size_t(0), Files.size(), [&](size_t I) {
-    Reads[I].Sections =
-        readIni(Files[I].Name, Files[I].Text, Reads[I].Findings);
+    Reads[I] = std::make_shared<ReadFile>(read(Files[I]));
   });
+  return build(Reads, Generation, Findings);
+}
+
+std::shared_ptr<const Declarations>
+Declarations::build(std::span<const std::shared_ptr<const ReadFile>> Files,
+                    uint64_t Generation, FindingList &Findings) {
   auto Out = std::make_shared<Declarations>();
   Out->Generation = Generation;
   size_t Sections = 0;
-  for (const Read &R : Reads)
-    Sections += R.Sections.size();
+  for (const auto &File : Files)
+    Sections += File->Sections.size();
   Out->Adapters.reserve(Sections);
   DeclarationParser Parser(*Out, Findings);
-  for (size_t I = 0; I < Files.size(); ++I) {
-    for (const Finding &F : Reads[I].Findings.items())
+  for (const auto &File : Files) {
+    for (const Finding &F : File->Findings.items())
       Findings.add(F.Where, F.Message);
-    for (const IniSection &S : Reads[I].Sections)
-      Parser.section(Files[I].Name, S);
+    for (const IniSection &S : File->Sections)
+      Parser.section(File->Name, S);
   }
   Parser.finish();
   return Out;
--- a/config/declarations.h
+++ b/config/declarations.h
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -17,18 +18,25 @@
 
 #include "base/finding.h"
 #include "base/time.h"
+#include "config/ini_file.h"
 #include "http/message.h"
 
 namespace goldcrestlink {
 
-struct IniSection;
-
-/// One operator's file.
+/// One operator's file, or a part of one that begins at a section.
 struct DeclarationFile {
   std::string Name;
   std::string Text;
 };
 
+/// A file as sections. Reading costs more than building, so processes keep
+/// this for the parts that a change leaves alone.
+struct ReadFile {
+  std::string Name;
+  std::vector<IniSection> Sections;
+  FindingList Findings;
+};
+
 /// A rank of work. Position in Declarations::ranks() is its urgency: 0 first.
 struct RankDecl {
   std::string Name;
@@ -112,6 +120,13 @@
   parse(const std::vector<DeclarationFile> &Files, uint64_t Generation,
         FindingList &Findings);
 
+  /// Reads one file's sections, with its syntax findings. Thread-safe.
+  static ReadFile read(const DeclarationFile &File);
+  /// Like parse(), from files that were read before. Thread-safe.
+  static std::shared_ptr<const Declarations>
+  build(std::span<const std::shared_ptr<const ReadFile>> Files,
+        uint64_t Generation, FindingList &Findings);
+
   uint64_t generation() const { return Generation; }
   const std::vector<RankDecl> &ranks() const { return Ranks; }
   const std::vector<UpstreamDecl> &upstreams() const { return Upstreams; }
