Status of all cells on the platform

Cause: operators had to know every process's address to read its status. Ruled out: an object per process (13,800 of them, and as many writes per interval).

--- a/cli/main.cc
+++ b/cli/main.cc
@@ -1,6 +1,7 @@
 // The command-line tool: goldcrestlink check|diff|apply|status|explain.
 // Exit codes: 0 done; 1 failed or unknown; 2 findings or usage; 3 lost a race.
 #include <cstdio>
+#include <set>
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
@@ -97,6 +98,35 @@
   return R.Outcome == ApplyOutcome::Unknown ? ExitFailed : 0;
 }
 
+// Prints the status that each cell's status writer keeps on the platform.
+int cellStatus(const Arguments &A) {
+  BlockingObjectClient Platform(endpoints(A.Platform));
+  FindingList Findings;
+  const auto D = Declarations::parse(readRemote(Platform).Files, 0, Findings);
+  std::set<std::string> Cells;
+  for (const UpstreamDecl &U : D->upstreams())
+    Cells.insert(U.Cell);
+  int Exit = 0;
+  nlohmann::json All = nlohmann::json::array();
+  for (const std::string &Cell : Cells) {
+    ObjectValue Value;
+    if (Platform.read(objects::cellStatus(Cell), Value) != ObjectStatus::Ok) {
+      std::fprintf(stderr, "cell %s has no status\n", Cell.c_str());
+      Exit = ExitFailed;
+      continue;
+    }
+    All.push_back(nlohmann::json::parse(Value.Body));
+  }
+  if (A.Json) {
+    std::printf("%s\n", All.dump().c_str());
+    return Exit;
+  }
+  for (const auto &Cell : All)
+    for (const auto &P : Cell["processes"])
+      std::printf("%s %s\n", Cell.value("cell", "").c_str(), P.dump().c_str());
+  return Exit;
+}
+
 // Prints one page of each process; fails if one does not answer.
 int page(const Arguments &A, const std::string &Target) {
   int Exit = 0;
@@ -145,11 +175,13 @@
   AddPlatform(Apply);
   Apply->add_option("--if-generation", A.IfGeneration,
                     "apply only if this generation is in force");
-  auto *Status = App.add_subcommand("status", "state of running processes");
+  auto *Status = App.add_subcommand(
+      "status", "state of all cells, or of the processes named");
+  AddPlatform(Status);
+  Status->add_option("--process", A.Processes, "ip:port of a process's HTTP");
   auto *Explain = App.add_subcommand("explain", "where a request would go");
-  for (auto *Sub : {Status, Explain})
-    Sub->add_option("--process", A.Processes, "ip:port of a process's HTTP")
-        ->required();
+  Explain->add_option("--process", A.Processes, "ip:port of an entry's HTTP")
+      ->required();
   Explain->add_option("model", A.Model, "adapter@version")->required();
   try {
     App.parse(Argc, Argv);
@@ -164,7 +196,7 @@
     if (Apply->parsed())
       return apply(A);
     if (Status->parsed())
-      return page(A, "/status");
+      return A.Processes.empty() ? cellStatus(A) : page(A, "/status");
     return page(A, "/explain?model=" + A.Model);
   } catch (const FindingError &E) {
     std::fputs(E.what(), stderr);
--- a/daemon/entry_daemon.cc
+++ b/daemon/entry_daemon.cc
@@ -17,6 +17,7 @@
 #include "daemon/decision_log.h"
 #include "daemon/entry_shard.h"
 #include "daemon/request_metrics.h"
+#include "membership/cell_watchers.h"
 
 namespace goldcrestlink {
 
@@ -24,6 +25,7 @@
 
 constexpr Duration DrainInterval = std::chrono::milliseconds(100);
 constexpr Duration PeerPollInterval = std::chrono::seconds(1);
+constexpr Duration ReportInterval = std::chrono::seconds(5);
 // After readiness fails, callers still get served for this long, so that a
 // balancer notices first.
 constexpr Duration StopNotice = std::chrono::seconds(1);
@@ -94,6 +96,8 @@
   }
 
   void publish(const std::shared_ptr<const Declarations> &D) {
+    const auto Watchers = cellWatchers(*D, S.Cell);
+    StatusWriter = Watchers.empty() ? std::string() : Watchers.front()->Name;
     for (auto &Shard : Shards)
       Shard->publish(D);
   }
@@ -135,6 +139,23 @@
     });
   }
 
+  void report() {
+    if (StatusWriter.empty())
+      return;
+    wire::Envelope E;
+    E.set_generation(Keeper.replica().generation());
+    wire::ProcessReport &R = *E.mutable_report();
+    R.set_name(S.InstanceName);
+    R.set_entry(true);
+    R.set_generation(Keeper.replica().generation());
+    R.set_ready(!Stopping);
+    size_t InProgress = 0;
+    for (auto &Shard : Shards)
+      InProgress += Shard->requestsInProgress();
+    R.set_running(static_cast<uint32_t>(InProgress));
+    Shards.front()->tell(StatusWriter, std::move(E));
+  }
+
   // Asks one side per interval for a newer configuration and membership.
   void pollPeers() {
     wire::Envelope E;
@@ -145,6 +166,11 @@
     else
       for (const http::Endpoint &Peer : S.Peers)
         Shards.front()->tell(Peer.text(), E);
+    const Time N = presentTime().Steady;
+    if (N >= NextReport) {
+      NextReport = N + ReportInterval;
+      report();
+    }
     PollTimer.expires_after(PeerPollInterval);
     PollTimer.async_wait([this](boost::system::error_code Error) {
       if (!Error)
@@ -154,6 +180,7 @@
 
   void beginStop() {
     LOG(INFO) << "stopping: not ready, still serving";
+    Stopping = true;
     for (auto &Shard : Shards)
       Shard->announceStop();
     StopTimer.expires_after(StopNotice);
@@ -198,6 +225,9 @@
   boost::asio::steady_timer StopTimer;
   Time StopDeadline{};
   Time NextAsk{};
+  Time NextReport{};
+  std::string StatusWriter;
+  bool Stopping = false;
   std::vector<std::unique_ptr<EntryShard>> Shards;
   std::vector<std::thread> Threads;
 };
--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -15,22 +15,22 @@
 #include <glog/logging.h>
 #include <zmq.hpp>
 
-#include "base/hash.h"
 #include "base/random.h"
+#include "daemon/cell_status.h"
 #include "daemon/config_keeper.h"
 #include "daemon/decision_log.h"
 #include "daemon/shard_keeper.h"
 #include "daemon/side_traffic.h"
 #include "http/server.h"
-#include "routing/rendezvous.h"
+#include "membership/cell_watchers.h"
 
 namespace goldcrestlink {
 
 namespace {
 
-constexpr size_t WatchersPerCell = 3;
 constexpr Duration StepInterval = std::chrono::milliseconds(100);
 constexpr Duration PeerPollInterval = std::chrono::seconds(1);
+constexpr Duration ReportInterval = std::chrono::seconds(5);
 constexpr Duration ListInterval = std::chrono::seconds(1);
 // Time for the last answers to leave once nothing is in progress.
 constexpr Duration StopFlush = std::chrono::milliseconds(300);
@@ -46,7 +46,7 @@
             [this](const std::string &Peer, const wire::ConfigRequest &R) {
               ask(Peer, R);
             }),
-        Signals(Io, SIGTERM, SIGINT), StepTimer(Io),
+        Status(Platform, S.Cell), Signals(Io, SIGTERM, SIGINT), StepTimer(Io),
         Traffic(S, Seed, Context, sinks()),
         Listener(Io, S.Listen, http::ServerOptions(),
                  [this](http::Request R, std::shared_ptr<http::Responder> A) {
@@ -100,14 +100,13 @@
     const UpstreamDecl *Self = D->upstream(S.Upstream);
     if (Self && Self->Kind == UpstreamKind::Service && !Shards)
       startShards(*D, *Self);
-    std::vector<const UpstreamDecl *> Cell;
-    for (const UpstreamDecl &U : D->upstreams())
-      if (U.Cell == S.Cell)
-        Cell.push_back(&U);
     Watcher = false;
-    for (const UpstreamDecl *U :
-         rendezvousOrder(hash64("watcher"), Cell, WatchersPerCell))
+    StatusWriter.clear();
+    for (const UpstreamDecl *U : cellWatchers(*D, S.Cell)) {
       Watcher |= U->Name == S.Upstream;
+      if (StatusWriter.empty())
+        StatusWriter = U->Name;
+    }
     Keeper.setWatching(Watcher);
     if (!Watcher)
       return;
@@ -140,6 +139,8 @@
     if (E.has_membership())
       return adoptMembership(E.membership());
     const Time N = presentTime().Steady;
+    if (E.has_report())
+      return Status.note(N, E.report());
     if (E.generation() > Keeper.replica().generation() && N >= NextAsk) {
       NextAsk = N + StepInterval;
       ask(Peer, wire::ConfigRequest());
@@ -210,6 +211,23 @@
       Traffic.tell(Peer.text(), E);
   }
 
+  void report(Time N) {
+    const SideSummary Sum = Traffic.summary();
+    wire::Envelope E = envelope();
+    wire::ProcessReport &R = *E.mutable_report();
+    R.set_name(S.InstanceName);
+    R.set_upstream(S.Upstream);
+    R.set_generation(Keeper.replica().generation());
+    R.set_ready(Sum.Ready);
+    R.set_upstream_down(Sum.UpstreamDown);
+    R.set_running(static_cast<uint32_t>(Sum.Running));
+    R.set_waiting(static_cast<uint32_t>(Sum.Waiting));
+    if (StatusWriter == S.Upstream)
+      Status.note(N, R);
+    else if (!StatusWriter.empty())
+      Traffic.tell(StatusWriter, std::move(E));
+  }
+
   void step() {
     const Time N = presentTime().Steady;
     Log.drain(N);
@@ -223,6 +241,12 @@
       NextList = N + ListInterval;
       readList();
     }
+    if (N >= NextReport) {
+      NextReport = N + ReportInterval;
+      report(N);
+    }
+    if (StatusWriter == S.Upstream)
+      Status.step(N);
     if (Stopping)
       stepStop(N);
     StepTimer.expires_after(StepInterval);
@@ -296,6 +320,7 @@
   DecisionLog Log;
   ObjectClient Platform;
   ConfigKeeper Keeper;
+  CellStatus Status;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer StepTimer;
   SideTraffic Traffic;
@@ -304,9 +329,11 @@
   wire::MembershipNotice Membership;
   std::set<std::string> EverListed;
   std::string LastList;
+  std::string StatusWriter;
   bool Watcher = false;
   bool Stopping = false;
   bool ReleaseAsked = false;
+  Time NextReport{};
   Time NextPoll{};
   Time NextList{};
   Time NextAsk{};
--- a/daemon/side_traffic.cc
+++ b/daemon/side_traffic.cc
@@ -181,7 +181,7 @@
 void SideTraffic::State::onMessage(const std::string &Peer,
                                    wire::Envelope &Message) {
   if (Message.has_config_request() || Message.has_config_reply() ||
-      Message.has_membership())
+      Message.has_membership() || Message.has_report())
     return toControl(Peer, Message, true);
   if (!Machine && Message.has_attempt()) {
     wire::Envelope Answer;
--- a/testing/process_test.cc
+++ b/testing/process_test.cc
@@ -382,6 +382,24 @@
   CHECK(F.tool({"nonsense"}) == 2);
 }
 
+TEST_CASE("operators read the status of all processes from the platform") {
+  Fleet F(quickShape(), ".", workFolder("status"));
+  F.start();
+  const std::vector<std::string> Status = {"--json", "status", "--platform",
+                                           F.Platform.Http.text()};
+  const auto Processes = [&] {
+    http::Request R;
+    R.Target = "/objects/status/cell-1";
+    const auto Json = nlohmann::json::parse(
+        http::fetchNow(F.Platform.Http, std::move(R), patient()).Body, nullptr,
+        false);
+    return Json.is_object() ? Json["processes"].size() : 0;
+  };
+  // 3 engines, 2 services, 2 entries.
+  CHECK(eventually([&] { return Processes() == 7; }, Patience));
+  CHECK(F.tool(Status) == 0);
+}
+
 TEST_CASE("a process that cannot start says why and exits non-zero") {
   const std::string Work = workFolder("start");
   Fleet F(quickShape(), ".", Work);
