--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -49,8 +49,6 @@
   std::string Programs = "build";
   std::string Work = "/tmp/goldcrestlink-scenario";
   uint64_t Seed = 1;
-  double Scale = 1;
-  bool Json = false;
 };
 
 // What became of one request.
@@ -316,8 +314,6 @@
   struct Order {
     std::string Key;
     std::string Issued;
-    std::string Answer;
-    bool Resend = false;
   };
 
   void scheduleOrders() {
@@ -361,8 +357,6 @@
                      if (Json.is_object() && Json.contains("error")) {
                        End = Json["error"].value("code", "") + "/" +
                              Json["error"].value("outcome", "");
-                       if (Json["error"].value("outcome", "") == "not_run")
-                         OrdersNotRun.insert(O->Key);
                      }
                    }
                    if (End == "ok")
@@ -502,7 +496,6 @@
   std::vector<std::string> Violations;
   std::map<std::string, size_t> OrderEnds;
   std::vector<double> OrderTimes;
-  std::set<std::string> OrdersNotRun;
   std::map<std::string, double> EngineBefore;
   std::map<std::string, double> EngineAfter;
   uint64_t Counter = 0;
--- a/entry/entry_answers.cc
+++ b/entry/entry_answers.cc
@@ -110,7 +110,7 @@
 }
 
 // Gives up an unanswered attempt, which may nevertheless run.
-void EntryMachine::abandonAttempt(const Now &, ActiveRequest &A, Actions &Out) {
+void EntryMachine::abandonAttempt(ActiveRequest &A, Actions &Out) {
   if (A.Open.empty())
     return;
   SendSide Send{Attempts.at(A.Open).Upstream, envelope()};
@@ -259,7 +259,7 @@
     ActiveRequest &A = Requests.at(It->second.RequestId);
     if (!A.Idempotent || A.HeadDelivered)
       continue;
-    abandonAttempt(N, A, Out);
+    abandonAttempt(A, Out);
     A.LastProblem = Code::NoUpstream;
     A.Tried.insert(Upstream);
     retryOrFail(N, A, Out);
--- a/entry/entry_machine.cc
+++ b/entry/entry_machine.cc
@@ -68,7 +68,7 @@
   return Code::None;
 }
 
-Code EntryMachine::classifyRoute(const Now &, ActiveRequest &A,
+Code EntryMachine::classifyRoute(ActiveRequest &A,
                                  std::string &RankName) const {
   const RouteDecl *Route = Config->route(A.Ask.Path);
   if (!Route)
@@ -81,7 +81,7 @@
   return Code::None;
 }
 
-Code EntryMachine::classify(const Now &N, ActiveRequest &A) const {
+Code EntryMachine::classify(ActiveRequest &A) const {
   if (Config->ranks().empty())
     return Code::NotConfigured;
   std::string RankName = A.Ask.Rank;
@@ -98,8 +98,8 @@
     if (!Allowed)
       return Code::UnknownRank;
   }
-  const Code Problem = Completion ? classifyCompletion(A, RankName)
-                                  : classifyRoute(N, A, RankName);
+  const Code Problem =
+      Completion ? classifyCompletion(A, RankName) : classifyRoute(A, RankName);
   if (Problem != Code::None)
     return Problem;
   const auto Rank = Config->rankIndex(RankName);
@@ -118,7 +118,7 @@
   A.Arrived = N.Steady;
   A.ReceivedMs = unixMillis(N.Wall);
   A.KeyFromCaller = !A.Ask.Key.empty();
-  const Code Problem = classify(N, A);
+  const Code Problem = classify(A);
   if (Problem == Code::None && Requests.size() >= Opts.maxRequests()) {
     const bool Vouched = A.Idempotent || !A.KeyFromCaller;
     Requests.emplace(Id, std::move(A));
@@ -148,7 +148,7 @@
   if (It == Requests.end())
     return;
   if (It->second.Idempotent)
-    abandonAttempt(N, It->second, Out);
+    abandonAttempt(It->second, Out);
   finish(N, RequestId, Code::Cancelled, outcomeOf(It->second), Out);
 }
 
@@ -226,7 +226,7 @@
     ActiveRequest &A = Requests.at(Id);
     const Outcome Known = outcomeOf(A);
     if (A.Idempotent)
-      abandonAttempt(N, A, Out);
+      abandonAttempt(A, Out);
     finish(N, Id, Code::DeadlineExceeded, Known, Out);
   }
   for (const std::string &Id : Overdue)
--- a/entry/entry_machine.h
+++ b/entry/entry_machine.h
@@ -162,10 +162,9 @@
   };
 
   // Intake.
-  Code classify(const Now &N, ActiveRequest &A) const;
+  Code classify(ActiveRequest &A) const;
   Code classifyCompletion(ActiveRequest &A, std::string &RankName) const;
-  Code classifyRoute(const Now &N, ActiveRequest &A,
-                     std::string &RankName) const;
+  Code classifyRoute(ActiveRequest &A, std::string &RankName) const;
 
   // Choice of a side.
   void route(const Now &N, const std::string &Id, Actions &Out);
@@ -199,7 +198,7 @@
               Actions &Out);
   void retryOrFail(const Now &N, ActiveRequest &A, Actions &Out);
   void closeAttempt(const std::string &AttemptId);
-  void abandonAttempt(const Now &N, ActiveRequest &A, Actions &Out);
+  void abandonAttempt(ActiveRequest &A, Actions &Out);
 
   // Silence.
   void judgeSides(const Now &N, Actions &Out);
--- a/http/client.h
+++ b/http/client.h
@@ -28,7 +28,6 @@
   bool freshConnection() const { return FreshConnection; }
   Duration connectTimeout() const { return ConnectTimeout; }
   Duration silenceTimeout() const { return SilenceTimeout; }
-  const std::string &sourceAddress() const { return SourceAddress; }
   /// Calls that may not be repeated use a connection of their own, so that a
   /// kept-alive connection closed by the peer cannot leave them in doubt.
   CallOptions &setFreshConnection(bool On) {
@@ -49,7 +48,6 @@
   bool FreshConnection = false;
   Duration ConnectTimeout = std::chrono::seconds(1);
   Duration SilenceTimeout = std::chrono::seconds(30);
-  std::string SourceAddress;
 };
 
 /// What a call reports. Exactly one of OnDone and OnError ends it.
--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -202,15 +202,14 @@
   }
 }
 
-Duration SideMachine::expectedService(const wire::Attempt &A, size_t) const {
+Duration SideMachine::expectedService(const wire::Attempt &A) const {
   if (Self.Kind == UpstreamKind::Service)
     return fromSeconds(ServiceSeconds);
   const uint32_t Tokens = A.max_tokens() ? A.max_tokens() : DefaultTokens;
   return fromSeconds(Tokens * TokenSeconds);
 }
 
-Duration SideMachine::expectedWait(const Now &, size_t Rank,
-                                   uint64_t SlotHash) const {
+Duration SideMachine::expectedWait(size_t Rank, uint64_t SlotHash) const {
   const auto Width = static_cast<size_t>(Self.MaxSequences);
   Duration Wait{};
   if (Runs.size() + Queue->size() >= Width)
@@ -236,7 +235,7 @@
   const Duration Tolerable =
       std::max(Left - W.Service,
                fromSeconds(TolerableWaitShare * std::max(seconds(Left), 0.0)));
-  return expectedWait(N, W.Rank, W.SlotHash) > Tolerable
+  return expectedWait(W.Rank, W.SlotHash) > Tolerable
              ? Code::DeadlineUnreachable
              : Code::None;
 }
@@ -336,7 +335,7 @@
   W.Arrived = N.Steady;
   W.Target = N.Steady + Duration(static_cast<int64_t>(A.target_left_us()));
   W.Deadline = N.Steady + Duration(static_cast<int64_t>(A.time_left_us()));
-  W.Service = expectedService(A, W.Rank);
+  W.Service = expectedService(A);
   if (Engine) {
     W.SlotKey = slotKey(A.adapter(), A.version());
     W.SlotHash = hash64(W.SlotKey);
@@ -441,7 +440,7 @@
   R.set_resident(Slots->ready(Hash));
   R.set_loading(Slot && !Slots->ready(Hash));
   R.set_wait_us(
-      static_cast<uint64_t>(expectedWait(N, Rank.value_or(0), Hash).count()));
+      static_cast<uint64_t>(expectedWait(Rank.value_or(0), Hash).count()));
   const double Victim = Slots->victimValue(N.Steady, Demand);
   R.set_victim_value(std::min(Victim, 1e9));
   fillState(*R.mutable_state());
--- a/side/side_machine.h
+++ b/side/side_machine.h
@@ -235,8 +235,8 @@
   Code admissionProblem(const Now &N, const Work &W) const;
   bool claimKey(const Now &N, const wire::Attempt &A, Actions &Out);
   void enqueue(const Now &N, Work W, Actions &Out);
-  Duration expectedService(const wire::Attempt &A, size_t Rank) const;
-  Duration expectedWait(const Now &N, size_t Rank, uint64_t Slot) const;
+  Duration expectedService(const wire::Attempt &A) const;
+  Duration expectedWait(size_t Rank, uint64_t Slot) const;
 
   // Running.
   void startReady(const Now &N, Actions &Out);
--- a/testing/world.cc
+++ b/testing/world.cc
@@ -55,7 +55,7 @@
 
 } // namespace
 
-// A run that the engine or service has accepted.
+// What the engine beside a side holds and runs.
 struct World::FakeEngine {
   struct Running {
     std::string Tag;
--- a/testing/world.h
+++ b/testing/world.h
@@ -70,7 +70,6 @@
 
 private:
   struct FakeEngine;
-  struct FakeService;
   struct SideNode;
   struct EntryNode;
   struct Submission;
