Try a stream elsewhere if it breaks before its first data; example sets

Cause: a stream's head was passed on as soon as the engine answered, so an attempt that broke before its first token could not be tried elsewhere. Change: the head goes to the caller with the first data. Two example sets of declarations, checked by a test. The scenario program prints how many requests are the first for their adapter: no strategy serves those without a load. Ruled out: running a broken stream again after data was delivered; the answer could differ from what the caller has.

--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -216,6 +216,8 @@
   };
 
   void send(const Arrival &A) {
+    const bool First = Requested.insert(A.Adapter).second;
+    FirstRequests += First && A.At >= 0 ? 1 : 0;
     auto R = std::make_shared<Result>();
     R->Rank = A.Rank;
     R->At = A.At;
@@ -439,6 +441,9 @@
                 Delta("sequence_steps") / Delta("steps"),
                 Delta("adapter_steps") / Delta("steps"),
                 EngineAfter["crashes"]);
+    std::printf(
+        "first requests for an adapter since the start, per 100: %.1f\n",
+        100 * FirstRequests / Requests);
     std::printf("work orders:");
     for (const auto &[End, Count] : OrderEnds)
       std::printf(" %s=%zu", End.c_str(), Count);
@@ -498,6 +503,10 @@
   std::vector<double> OrderTimes;
   std::map<std::string, double> EngineBefore;
   std::map<std::string, double> EngineAfter;
+  /// Adapters asked for so far, and first requests that are counted: no
+  /// strategy can serve those without a load.
+  std::set<size_t> Requested;
+  double FirstRequests = 0;
   uint64_t Counter = 0;
   uint64_t OrderCounter = 0;
 };
--- a/config/testing/config_test.cc
+++ b/config/testing/config_test.cc
@@ -1,5 +1,9 @@
 // Contract tests of operators' files, settings, bundles and replicas; faults
 // in tables.
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+
 #include <doctest/doctest.h>
 
 #include "base/random.h"
@@ -88,6 +92,24 @@
   CHECK(D->group(UpstreamKind::Service, "oak", "dc").empty());
 }
 
+TEST_CASE("the example sets are valid") {
+  for (const char *Name : {"totara", "qureshi"}) {
+    const auto Folder =
+        std::filesystem::path(GOLDCRESTLINK_SOURCE_FOLDER) / "examples" / Name;
+    std::vector<DeclarationFile> Files;
+    for (const auto &Item : std::filesystem::directory_iterator(Folder)) {
+      std::ifstream In(Item.path());
+      Files.push_back({Item.path().filename().string(),
+                       std::string((std::istreambuf_iterator<char>(In)),
+                                   std::istreambuf_iterator<char>())});
+    }
+    FindingList Findings;
+    const auto D = Declarations::parse(Files, 1, Findings);
+    CHECK(Findings.text() == "");
+    CHECK_FALSE(D->adapters().empty());
+  }
+}
+
 TEST_CASE("each fault is found at its place") {
   for (const FaultRow &Row : FaultRows) {
     const std::string Text = findingsOf(std::string(Valid) + Row.Added);
--- a/entry/entry_answers.cc
+++ b/entry/entry_answers.cc
@@ -65,12 +65,13 @@
   ActiveRequest &A = Requests.at(T.RequestId);
   switch (E.kind()) {
   case wire::AttemptEvent::HEAD:
-    A.HeadDelivered = true;
-    Out.emplace_back(DeliverHead{A.Ask.Id, E.status(), E.content_type()});
+    A.HeadStatus = E.status();
+    A.HeadType = E.content_type();
     return;
   case wire::AttemptEvent::DATA:
     if (A.FirstByte == Time{})
       A.FirstByte = N.Steady;
+    deliverHead(A, Out);
     Out.emplace_back(DeliverData{A.Ask.Id, E.data()});
     return;
   case wire::AttemptEvent::DONE:
@@ -91,7 +92,8 @@
   const std::string Id = A.Ask.Id;
   if (A.FirstByte == Time{})
     A.FirstByte = N.Steady;
-  if (A.HeadDelivered) {
+  if (A.HeadStatus != 0) {
+    deliverHead(A, Out);
     if (!E.data().empty())
       Out.emplace_back(DeliverData{Id, E.data()});
     Out.emplace_back(DeliverEnd{Id});
@@ -101,6 +103,13 @@
   finish(N, Id, Code::None, Outcome::Ran, Out);
 }
 
+void EntryMachine::deliverHead(ActiveRequest &A, Actions &Out) {
+  if (A.HeadDelivered)
+    return;
+  A.HeadDelivered = true;
+  Out.emplace_back(DeliverHead{A.Ask.Id, A.HeadStatus, A.HeadType});
+}
+
 void EntryMachine::closeAttempt(const std::string &AttemptId) {
   const auto It = Attempts.find(AttemptId);
   assert(It != Attempts.end());
--- a/entry/entry_machine.h
+++ b/entry/entry_machine.h
@@ -139,6 +139,10 @@
     uint32_t Attempts = 0;
     std::set<std::string> Tried;
     bool Isolated = false;
+    // The stream's head as it came; passed on with the first data, so that an
+    // attempt which breaks before that can still be tried elsewhere.
+    unsigned HeadStatus = 0;
+    std::string HeadType;
     bool HeadDelivered = false;
     // Some attempt may have run, or did.
     bool MaybeRan = false;
@@ -197,6 +201,7 @@
   void onDone(const Now &N, ActiveRequest &A, const wire::AttemptEvent &E,
               Actions &Out);
   void retryOrFail(const Now &N, ActiveRequest &A, Actions &Out);
+  void deliverHead(ActiveRequest &A, Actions &Out);
   void closeAttempt(const std::string &AttemptId);
   void abandonAttempt(ActiveRequest &A, Actions &Out);
 
--- a/entry/entry_routing.cc
+++ b/entry/entry_routing.cc
@@ -236,6 +236,7 @@
                  ListedGone.count(Upstream) > 0);
   View.asked(N.Steady);
   A.Open = Id;
+  A.HeadStatus = 0;
   ++A.Attempts;
   Attempts[Id] = {A.Ask.Id, Upstream, 0, View.incarnation(), false};
   OpenAt[Upstream].insert(Id);
