--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -6,6 +6,7 @@
 //
 // One thread sends and receives everything; the fleet is other processes.
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <map>
 #include <set>
@@ -71,7 +72,7 @@
     return 0;
   std::sort(Values.begin(), Values.end());
   const double Where = P * static_cast<double>(Values.size() - 1);
-  return Values[static_cast<size_t>(Where + 0.5)];
+  return Values[static_cast<size_t>(std::lround(Where))];
 }
 
 std::string strategyText(const std::string &Strategy) {
--- a/entry/testing/entry_machine_test.cc
+++ b/entry/testing/entry_machine_test.cc
@@ -1,4 +1,6 @@
 // Contract tests of an entry's decisions and of its request parser.
+#include <sstream>
+
 #include <doctest/doctest.h>
 
 #include "entry/entry_machine.h"
@@ -10,23 +12,21 @@
 namespace {
 
 std::shared_ptr<const Declarations> config() {
-  std::string Text = "[rank urgent]\npriority = 0\ntarget_ms = 4000\n"
-                     "deadline_ms = 5000\n"
-                     "[rank bulk]\npriority = 1\ntarget_ms = 9000\n"
-                     "[application app]\nranks = urgent\n"
-                     "[route /orders]\nservice = ledger\nidempotent = no\n"
-                     "rank = urgent\n"
-                     "[adapter a]\nmodel = oak\nversions = 1\n";
-  for (int I = 1; I <= 3; ++I) {
-    const std::string N = std::to_string(I);
-    Text += "[engine e" + N +
-            "]\nmodel = oak\ndata_center = d\nside = " + "127.0.0.1:1" + N +
-            "\naddress = 127.0.0.1:2" + N + "\n[service s" + N +
-            "]\nservice = ledger\ndata_center = d\nside = 127.0.0.1:3" + N +
-            "\naddress = 127.0.0.1:4" + N + "\n";
-  }
+  std::ostringstream Text;
+  Text << "[rank urgent]\npriority = 0\ntarget_ms = 4000\n"
+          "deadline_ms = 5000\n"
+          "[rank bulk]\npriority = 1\ntarget_ms = 9000\n"
+          "[application app]\nranks = urgent\n"
+          "[route /orders]\nservice = ledger\nidempotent = no\n"
+          "rank = urgent\n"
+          "[adapter a]\nmodel = oak\nversions = 1\n";
+  for (int I = 1; I <= 3; ++I)
+    Text << "[engine e" << I << "]\nmodel = oak\ndata_center = d\n"
+         << "side = 127.0.0.1:1" << I << "\naddress = 127.0.0.1:2" << I
+         << "\n[service s" << I << "]\nservice = ledger\ndata_center = d\n"
+         << "side = 127.0.0.1:3" << I << "\naddress = 127.0.0.1:4" << I << "\n";
   FindingList Findings;
-  return Declarations::parse({{"t.ini", Text}}, 1, Findings);
+  return Declarations::parse({{"t.ini", Text.str()}}, 1, Findings);
 }
 
 Now at(int64_t Ms) {
