--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -22,6 +22,7 @@
 constexpr size_t BrokerCandidates = 3;
 constexpr uint32_t DefaultTokens = 128;
 constexpr uint64_t RetryAfterUs = 500000;
+constexpr Duration FarTarget = std::chrono::hours(1);
 
 std::vector<double> rankShares(const Declarations &D) {
   std::vector<double> Out;
@@ -306,6 +307,38 @@
   return false;
 }
 
+SideMachine::Work SideMachine::makeWork(const Now &N, const wire::Attempt &A,
+                                        size_t Rank) const {
+  Work W;
+  W.Ask = A;
+  W.Rank = Rank;
+  W.Arrived = N.Steady;
+  W.Target = N.Steady + Duration(static_cast<int64_t>(A.target_left_us()));
+  W.Deadline = N.Steady + Duration(static_cast<int64_t>(A.time_left_us()));
+  W.Service = expectedService(A);
+  if (Self.Kind == UpstreamKind::Engine) {
+    W.SlotKey = slotKey(A.adapter(), A.version());
+    W.SlotHash = hash64(W.SlotKey);
+    W.Missed = !Slots->ready(W.SlotHash);
+  }
+  return W;
+}
+
+// Without ranks all items are of one, in order of arrival.
+WaitingItem SideMachine::waitingItem(const Now &N, const Work &W) const {
+  WaitingItem Item;
+  Item.AttemptId = W.Ask.attempt_id();
+  Item.Slot = W.SlotHash;
+  Item.Rank = Opts.shareRanks() ? W.Rank : 0;
+  Item.Application = W.Ask.application();
+  Item.Arrived = N.Steady;
+  Item.Target = Opts.shareRanks() ? W.Target : N.Steady + FarTarget;
+  Item.Deadline = W.Deadline;
+  Item.Service = W.Service;
+  Item.Isolated = W.Ask.isolated();
+  return Item;
+}
+
 void SideMachine::onAttempt(const Now &N, const std::string &Peer,
                             const wire::Attempt &A, Actions &Out) {
   if (Log.find(A.attempt_id())) {
@@ -329,19 +362,9 @@
   if (Verdict == Suspicion::Suspect && !A.isolated() && Engine)
     return sendRefusal(N, Peer, A, Code::Interrupted, Outcome::NotRun, Out);
 
-  Work W;
-  W.Ask = A;
-  W.Rank = *Rank;
-  W.Arrived = N.Steady;
-  W.Target = N.Steady + Duration(static_cast<int64_t>(A.target_left_us()));
-  W.Deadline = N.Steady + Duration(static_cast<int64_t>(A.time_left_us()));
-  W.Service = expectedService(A);
-  if (Engine) {
-    W.SlotKey = slotKey(A.adapter(), A.version());
-    W.SlotHash = hash64(W.SlotKey);
-    W.Missed = !Slots->ready(W.SlotHash);
+  Work W = makeWork(N, A, *Rank);
+  if (Engine)
     Demand.record(N.Steady, W.SlotHash);
-  }
   const bool Keyed = !A.idempotent();
   if (!Keyed) {
     const Code Problem = admissionProblem(N, W);
@@ -363,18 +386,7 @@
 
 void SideMachine::enqueue(const Now &N, Work W, Actions &Out) {
   const std::string Id = W.Ask.attempt_id();
-  WaitingItem Item;
-  Item.AttemptId = Id;
-  Item.Slot = W.SlotHash;
-  Item.Rank = Opts.shareRanks() ? W.Rank : 0;
-  Item.Application = W.Ask.application();
-  Item.Arrived = N.Steady;
-  Item.Target = Opts.shareRanks() ? W.Target : W.Deadline;
-  Item.Deadline = W.Deadline;
-  Item.Service = W.Service;
-  Item.Isolated = W.Ask.isolated();
-  if (!Opts.shareRanks())
-    Item.Target = N.Steady + std::chrono::hours(1); // Keeps arrival order.
+  const WaitingItem Item = waitingItem(N, W);
   Works.insert_or_assign(Id, std::move(W));
   if (!Queue->push(Item))
     return refuseWork(N, Id, Code::Overloaded, Out);
--- a/side/side_machine.h
+++ b/side/side_machine.h
@@ -234,6 +234,8 @@
   void refuseSuspects(const Now &N, Actions &Out);
   Code admissionProblem(const Now &N, const Work &W) const;
   bool claimKey(const Now &N, const wire::Attempt &A, Actions &Out);
+  Work makeWork(const Now &N, const wire::Attempt &A, size_t Rank) const;
+  WaitingItem waitingItem(const Now &N, const Work &W) const;
   void enqueue(const Now &N, Work W, Actions &Out);
   Duration expectedService(const wire::Attempt &A) const;
   Duration expectedWait(size_t Rank, uint64_t Slot) const;
