Waits and stalls per rank in a side's metrics

Cause: operators could see queue waits and load stalls only as one sum, and no batch fill. Change: per rank started, waited, stalled; running_at_starts. The fuzzer's world is split into smaller steps. Behaviour is unchanged.

--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -308,8 +308,17 @@
     Line("loads_total", C.Loads);
     Line("load_failures_total", C.LoadFailures);
     Line("crashes_total", C.Crashes);
-    Line("stalled_total", C.Stalled);
-    Line("stalled_us_total", C.StalledUs);
+    Line("running_at_starts_total", C.RunningAtStarts);
+    for (const side::RankCounters &R : C.Ranks) {
+      const auto RankLine = [&](const char *Name, uint64_t Value) {
+        Out << "goldcrestlink_side_" << Name << "{upstream=\"" << S.Upstream
+            << "\",rank=\"" << R.Rank << "\"} " << Value << "\n";
+      };
+      RankLine("started_total", R.Started);
+      RankLine("waited_us_total", R.WaitedUs);
+      RankLine("stalled_total", R.Stalled);
+      RankLine("stalled_us_total", R.StalledUs);
+    }
     Answer.whole(200, {{"Content-Type", "text/plain"}}, Out.str());
   }
 
--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -76,6 +76,9 @@
   Queue.emplace(RankQueue::Options().setMaxWaiting(Opts.maxWaiting()), Shares,
                 appShares(*Config));
   LoadWaitSeconds.assign(Shares.size(), UsualLoadWaitSeconds);
+  Counters.Ranks.assign(Shares.size(), RankCounters());
+  for (size_t I = 0; I < Shares.size(); ++I)
+    Counters.Ranks[I].Rank = Config->ranks()[I].Name;
 }
 
 std::vector<std::string> SideMachine::brokerNames() const {
--- a/side/side_machine.h
+++ b/side/side_machine.h
@@ -53,8 +53,19 @@
   std::vector<std::string> SlotKeys;
 };
 
+/// What one rank's attempts waited for, cumulative.
+struct RankCounters {
+  std::string Rank;
+  uint64_t Started = 0;
+  uint64_t WaitedUs = 0;
+  /// Of these, attempts that had to wait for a load, and their whole wait.
+  uint64_t Stalled = 0;
+  uint64_t StalledUs = 0;
+};
+
 /// Counters for metrics, cumulative since the start.
 struct SideCounters {
+  std::vector<RankCounters> Ranks;
   uint64_t Admitted = 0;
   uint64_t Refused = 0;
   uint64_t Finished = 0;
@@ -62,9 +73,8 @@
   uint64_t Loads = 0;
   uint64_t LoadFailures = 0;
   uint64_t Crashes = 0;
-  /// Requests that had to wait for a load, and how long they waited in all.
-  uint64_t Stalled = 0;
-  uint64_t StalledUs = 0;
+  /// Sum, over all starts, of the attempts that then ran.
+  uint64_t RunningAtStarts = 0;
 };
 
 /// Not thread-safe: all calls on one thread.
@@ -244,6 +254,7 @@
   void startReady(const Now &N, Actions &Out);
   bool canStart(const WaitingItem &Item) const;
   void startRun(const Now &N, const std::string &Id, Actions &Out);
+  void countStart(const Now &N, const Work &W);
   void endRun(const std::string &Id);
   void finishWork(const Now &N, const std::string &Id, wire::AttemptEvent Last,
                   Actions &Out);
--- a/side/side_runs.cc
+++ b/side/side_runs.cc
@@ -63,10 +63,6 @@
   const bool Keyed = !A.idempotent();
   if (Keyed && Opts.checkLease() && !Ledger.mayDispatch(N, A.key()))
     return refuseWork(N, Id, Code::LeaseLapsed, Out);
-  if (W.Missed) {
-    ++Counters.Stalled;
-    Counters.StalledUs += static_cast<uint64_t>((N.Steady - W.Arrived).count());
-  }
   Run R;
   R.Started = N.Steady;
   R.LastProgress = N.Steady;
@@ -91,6 +87,7 @@
     Start.FencingScope = Ledger.shardOf(A.key());
   }
   Runs.emplace(Id, std::move(R));
+  countStart(N, W);
   Out.emplace_back(std::move(Start));
   log("start attempt=" + Id + " request=" + A.request_id() +
           " adapter=" + W.SlotKey + " rank=" + A.rank() +
@@ -98,6 +95,16 @@
       Out);
 }
 
+void SideMachine::countStart(const Now &N, const Work &W) {
+  RankCounters &C = Counters.Ranks[W.Rank];
+  const auto Waited = static_cast<uint64_t>((N.Steady - W.Arrived).count());
+  ++C.Started;
+  C.WaitedUs += Waited;
+  C.Stalled += W.Missed ? 1 : 0;
+  C.StalledUs += W.Missed ? Waited : 0;
+  Counters.RunningAtStarts += Runs.size();
+}
+
 void SideMachine::endRun(const std::string &Id) {
   const auto It = Runs.find(Id);
   assert(It != Runs.end());
--- a/testing/process_test.cc
+++ b/testing/process_test.cc
@@ -484,4 +484,6 @@
             .Head.Status == 200);
   CHECK(F.admin(F.Entries[0].Http, "/metrics", "GET")
             .find("goldcrestlink_requests_total") != std::string::npos);
+  CHECK(F.admin(F.EngineSides[0].Http, "/metrics", "GET")
+            .find("rank=\"urgent\"") != std::string::npos);
 }
--- a/testing/world.cc
+++ b/testing/world.cc
@@ -311,46 +311,53 @@
     } else if (auto *C = std::get_if<side::CancelRun>(&A)) {
       S.Fake.Runs.erase(C->AttemptId);
     } else if (auto *L = std::get_if<side::LoadAdapter>(&A)) {
-      const side::LoadAdapter Order = *L;
-      for (const auto &[Id, R] : S.Fake.Runs)
-        if (R.Slot == Order.Slot)
-          violate("slot " + std::to_string(Order.Slot) + " of " + S.Upstream +
-                  " is replaced while it serves");
-      const uint64_t Life = S.Fake.Life;
-      const uint64_t SideLife = S.Life;
-      S.Fake.Slots[Order.Slot].clear();
-      const bool Fails = (O.Faults & FailingLoads) && chance(0.1);
-      at(LoadTime + upTo(LoadTime), [this, &S, Order, Life, SideLife, Fails] {
-        const bool Loaded = S.Fake.Life == Life && !Fails;
-        if (Loaded)
-          S.Fake.Slots[Order.Slot] = Order.Key;
-        if (S.Life != SideLife)
-          return;
-        side::Actions More;
-        S.Machine->onLoadDone(now(S.WallOffset), Order.Slot, Order.Key, Loaded,
-                              More);
-        perform(S, More);
-      });
+      startLoad(S, *L);
     } else if (std::get_if<side::CheckUpstream>(&A)) {
-      const uint64_t SideLife = S.Life;
-      at(Duration(1000), [this, &S, SideLife] {
-        if (S.Life != SideLife)
-          return;
-        side::UpstreamStatus Status;
-        if (S.Fake.DownUntil > Clock)
-          Status.Is = side::UpstreamStatus::Kind::Refused;
-        else if (S.Fake.MuteUntil > Clock)
-          Status.Is = side::UpstreamStatus::Kind::Silent;
-        if (S.Engine)
-          Status.SlotKeys = S.Fake.Slots;
-        side::Actions More;
-        S.Machine->onUpstreamCheck(now(S.WallOffset), Status, More);
-        perform(S, More);
-      });
+      startCheck(S);
     }
   }
 }
 
+void World::startLoad(SideNode &S, const side::LoadAdapter &Order) {
+  for (const auto &[Id, R] : S.Fake.Runs)
+    if (R.Slot == Order.Slot)
+      violate("slot " + std::to_string(Order.Slot) + " of " + S.Upstream +
+              " is replaced while it serves");
+  const uint64_t Life = S.Fake.Life;
+  const uint64_t SideLife = S.Life;
+  S.Fake.Slots[Order.Slot].clear();
+  const bool Fails = (O.Faults & FailingLoads) && chance(0.1);
+  at(LoadTime + upTo(LoadTime), [this, &S, Order, Life, SideLife, Fails] {
+    const bool Loaded = S.Fake.Life == Life && !Fails;
+    if (Loaded)
+      S.Fake.Slots[Order.Slot] = Order.Key;
+    if (S.Life != SideLife)
+      return;
+    side::Actions More;
+    S.Machine->onLoadDone(now(S.WallOffset), Order.Slot, Order.Key, Loaded,
+                          More);
+    perform(S, More);
+  });
+}
+
+void World::startCheck(SideNode &S) {
+  const uint64_t SideLife = S.Life;
+  at(Duration(1000), [this, &S, SideLife] {
+    if (S.Life != SideLife)
+      return;
+    side::UpstreamStatus Status;
+    if (S.Fake.DownUntil > Clock)
+      Status.Is = side::UpstreamStatus::Kind::Refused;
+    else if (S.Fake.MuteUntil > Clock)
+      Status.Is = side::UpstreamStatus::Kind::Silent;
+    if (S.Engine)
+      Status.SlotKeys = S.Fake.Slots;
+    side::Actions More;
+    S.Machine->onUpstreamCheck(now(S.WallOffset), Status, More);
+    perform(S, More);
+  });
+}
+
 void World::startRun(SideNode &S, const side::StartRun &Run) {
   const std::string Id = Run.AttemptId;
   const uint64_t SideLife = S.Life;
--- a/testing/world.h
+++ b/testing/world.h
@@ -96,6 +96,8 @@
                      const wire::Envelope &Message);
   void end(const std::string &Id, Outcome Known, bool Whole, Code Why);
   void startRun(SideNode &S, const side::StartRun &Run);
+  void startLoad(SideNode &S, const side::LoadAdapter &Order);
+  void startCheck(SideNode &S);
   void crashEngine(SideNode &S);
   void stepLease(SideNode &S);
   void applyShards(SideNode &S, const ShardEffects &Effects);
