Retry at once what a side lost in a restart

Cause: a restarted side answers a resume with 'never arrived', numbered 0; the entry had seen event 0 (accepted) and dropped it as old, so the request waited for its deadline although another side could have run it. Ruled out: numbering the denial differently; the new incarnation cannot know how far the old one came. Change: such a denial counts as an interrupted attempt, with outcome unknown. Before: the new entry test fails (the attempt stays where it was).

--- a/entry/entry_answers.cc
+++ b/entry/entry_answers.cc
@@ -42,6 +42,13 @@
     return onProbeReply(N, Upstream, Message.probe_reply(), Out);
 }
 
+// A side that accepted the attempt and now says that it never arrived has
+// restarted since.
+bool EntryMachine::isLost(const Attempt &T, const wire::AttemptEvent &E) {
+  return E.kind() == wire::AttemptEvent::REFUSED && T.NextSequence > 0 &&
+         E.sequence() == 0 && codeFromName(E.code()) == Code::NeverArrived;
+}
+
 void EntryMachine::onEvent(const Now &N, const std::string &Upstream,
                            const wire::AttemptEvent &E, Actions &Out) {
   if (E.has_state())
@@ -51,6 +58,13 @@
     return;
   Attempt &T = It->second;
   T.Heard = true;
+  if (isLost(T, E)) {
+    wire::AttemptEvent Failed;
+    Failed.set_attempt_id(E.attempt_id());
+    Failed.set_code(std::string(codeName(Code::Interrupted)));
+    Failed.set_outcome(wire::OUTCOME_UNKNOWN);
+    return onFailed(N, Requests.at(T.RequestId), Failed, Out);
+  }
   if (E.sequence() < T.NextSequence)
     return;
   if (E.sequence() > T.NextSequence) {
--- a/entry/entry_machine.h
+++ b/entry/entry_machine.h
@@ -201,6 +201,7 @@
   void onDone(const Now &N, ActiveRequest &A, const wire::AttemptEvent &E,
               Actions &Out);
   void retryOrFail(const Now &N, ActiveRequest &A, Actions &Out);
+  static bool isLost(const Attempt &T, const wire::AttemptEvent &E);
   void deliverHead(ActiveRequest &A, Actions &Out);
   void closeAttempt(const std::string &AttemptId);
   void abandonAttempt(ActiveRequest &A, Actions &Out);
--- a/entry/testing/entry_machine_test.cc
+++ b/entry/testing/entry_machine_test.cc
@@ -211,6 +211,18 @@
   CHECK(B.count<DeliverEnd>() == 0);
 }
 
+TEST_CASE("an attempt that its side lost in a restart is tried elsewhere") {
+  Bench B;
+  B.completion(0);
+  B.answerProbes(1);
+  const std::string First = B.attempt()->Upstream;
+  B.event(2, wire::AttemptEvent::ACCEPTED, 0);
+  B.event(3, wire::AttemptEvent::REFUSED, 0, "never_arrived");
+  B.answerProbes(4);
+  CHECK_FALSE(B.error());
+  CHECK(B.attempt()->Upstream != First);
+}
+
 TEST_CASE("silence costs first the connection, then moves the work") {
   Bench B;
   B.completion(0);
