--- a/daemon/cell_status.cc
+++ b/daemon/cell_status.cc
@@ -51,9 +51,8 @@
 
 void CellStatus::write(std::string Body) {
   Busy = true;
-  const std::string Name = objects::cellStatus(Cell);
-  Platform.put(Name, Version, Body,
-               [this, Name, Body](ObjectStatus Status, const ObjectValue &V) {
+  Platform.put(objects::cellStatus(Cell), Version, Body,
+               [this, Body](ObjectStatus Status, const ObjectValue &V) {
                  Busy = false;
                  // A conflict's answer names the present version.
                  if (Status != ObjectStatus::Unavailable)
--- a/daemon/entry_daemon.cc
+++ b/daemon/entry_daemon.cc
@@ -139,6 +139,13 @@
     });
   }
 
+  size_t requestsInProgress() const {
+    size_t Sum = 0;
+    for (const auto &Shard : Shards)
+      Sum += Shard->requestsInProgress();
+    return Sum;
+  }
+
   void report() {
     if (StatusWriter.empty())
       return;
@@ -149,10 +156,7 @@
     R.set_entry(true);
     R.set_generation(Keeper.replica().generation());
     R.set_ready(!Stopping);
-    size_t InProgress = 0;
-    for (auto &Shard : Shards)
-      InProgress += Shard->requestsInProgress();
-    R.set_running(static_cast<uint32_t>(InProgress));
+    R.set_running(static_cast<uint32_t>(requestsInProgress()));
     Shards.front()->tell(StatusWriter, std::move(E));
   }
 
@@ -195,10 +199,7 @@
   // \p EmptySince is when the last request was seen to end.
   void awaitDrained(Time EmptySince) {
     const Time N = presentTime().Steady;
-    size_t InProgress = 0;
-    for (auto &Shard : Shards)
-      InProgress += Shard->requestsInProgress();
-    if (InProgress > 0)
+    if (requestsInProgress() > 0)
       EmptySince = Time{};
     else if (EmptySince == Time{})
       EmptySince = N;
--- a/daemon/side_traffic.cc
+++ b/daemon/side_traffic.cc
@@ -61,6 +61,7 @@
   void perform(side::LogDecision &A) { Sinks.Log(std::move(A.Line)); }
   void toControl(const std::string &Peer, const wire::Envelope &Message,
                  bool ByRouter);
+  std::vector<std::string> otherSides() const;
   void tick();
   void updateSummary();
 
@@ -237,6 +238,17 @@
     Machine->setShardOwners(Effects.Owners);
 }
 
+// Upstreams of the other sides of the cell.
+std::vector<std::string> SideTraffic::State::otherSides() const {
+  std::vector<std::string> Out;
+  if (!InForce)
+    return Out;
+  for (const UpstreamDecl &U : InForce->upstreams())
+    if (U.Cell == S.Cell && U.Name != S.Upstream)
+      Out.push_back(U.Name);
+  return Out;
+}
+
 void SideTraffic::State::tick() {
   Links.flush();
   command([](side::SideMachine &M, const Now &N, side::Actions &Out) {
@@ -306,22 +318,15 @@
 
 void SideTraffic::tellCell(wire::Envelope Message) {
   boost::asio::post(Shell->Io, [this, Message]() mutable {
-    if (!Shell->InForce)
-      return;
-    for (const UpstreamDecl &U : Shell->InForce->upstreams())
-      if (U.Cell == Shell->S.Cell && U.Name != Shell->S.Upstream)
-        if (SideLink *L = Shell->Links.find(U.Name))
-          L->sendSoon(Message);
+    for (const std::string &Name : Shell->otherSides())
+      if (SideLink *L = Shell->Links.find(Name))
+        L->sendSoon(Message);
   });
 }
 
 void SideTraffic::tellAny(wire::Envelope Message) {
   boost::asio::post(Shell->Io, [this, Message]() mutable {
-    std::vector<std::string> Others;
-    if (Shell->InForce)
-      for (const UpstreamDecl &U : Shell->InForce->upstreams())
-        if (U.Cell == Shell->S.Cell && U.Name != Shell->S.Upstream)
-          Others.push_back(U.Name);
+    const std::vector<std::string> Others = Shell->otherSides();
     if (Others.empty())
       return;
     if (SideLink *L =
--- a/testing/world.cc
+++ b/testing/world.cc
@@ -118,16 +118,7 @@
     Sides.push_back(std::move(S));
   }
   for (auto &S : Sides) {
-    S->Machine = std::make_unique<side::SideMachine>(
-        O.Side, Config, S->Upstream, ++Incarnations);
-    if (!S->Engine)
-      S->Lease = std::make_unique<ShardLease>(
-          ShardLease::Options()
-              .setLease(Config->policy().Lease)
-              .setShards(
-                  static_cast<uint32_t>(Config->policy().ShardsPerService))
-              .setDeclaredMembers(ServiceCount),
-          S->Upstream, Incarnations);
+    bootSide(*S);
   }
   for (size_t I = 0; I < EntryCount; ++I) {
     auto E = std::make_unique<EntryNode>();
@@ -139,6 +130,20 @@
   }
 }
 
+// Starts a side's process, for the first time or again.
+void World::bootSide(SideNode &S) {
+  S.Machine = std::make_unique<side::SideMachine>(O.Side, Config, S.Upstream,
+                                                  ++Incarnations);
+  if (S.Engine)
+    return;
+  S.Lease = std::make_unique<ShardLease>(
+      ShardLease::Options()
+          .setLease(Config->policy().Lease)
+          .setShards(static_cast<uint32_t>(Config->policy().ShardsPerService))
+          .setDeclaredMembers(ServiceCount),
+      S.Upstream, Incarnations);
+}
+
 Now World::now(Duration WallOffset) const {
   return {Time(Epoch + Clock), WallTime(WallEpoch + Clock + WallOffset)};
 }
@@ -546,16 +551,7 @@
     S->PausedUntil = Duration{};
     S->LeaseBusy = false;
     S->Fake.Runs.clear(); // Its calls' connections are cut.
-    S->Machine = std::make_unique<side::SideMachine>(
-        O.Side, Config, S->Upstream, ++Incarnations);
-    if (S->Lease)
-      S->Lease = std::make_unique<ShardLease>(
-          ShardLease::Options()
-              .setLease(Config->policy().Lease)
-              .setShards(
-                  static_cast<uint32_t>(Config->policy().ShardsPerService))
-              .setDeclaredMembers(ServiceCount),
-          S->Upstream, Incarnations);
+    bootSide(*S);
   }
   if (OutageUntil <= Clock && Hit(PlatformOutages, 0.1))
     OutageUntil = Clock + upTo(std::chrono::seconds(6));
--- a/testing/world.h
+++ b/testing/world.h
@@ -95,6 +95,7 @@
   void deliverToSide(SideNode &S, const std::string &Peer,
                      const wire::Envelope &Message);
   void end(const std::string &Id, Outcome Known, bool Whole, Code Why);
+  void bootSide(SideNode &S);
   void startRun(SideNode &S, const side::StartRun &Run);
   void startLoad(SideNode &S, const side::LoadAdapter &Order);
   void startCheck(SideNode &S);
