--- /dev/null
+++ b/admission/side_admission.cc
@@ -0,0 +1,545 @@
+// Requests whose adapter is held and for which the engine has room go at once;
+// the others wait in one queue, ordered by rank and arrival, while the adapters
+// they need are ordered, at most one order at a time. Every order names the
+// count of orders that the engine must have; an unanswered order stays open,
+// and its slot counts as taken, until the count has moved past it, since from
+// then on it cannot be carried out any more. All scans are over at most
+// Options::maxWaiting() requests or the engine's adapter slots.
+#include "admission/side_admission.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace goldcrestlink {
+
+namespace {
+
+// Rate of reading prompts that is assumed until answers tell (tokens per ms),
+// and bounds for what is learned from them.
+constexpr double MinPrefillRate = 4;
+constexpr double MaxPrefillRate = 400;
+// Weight of one answer in the learned rate.
+constexpr double RateWeight = 0.05;
+// Prompts below this say more about latency than about the rate.
+constexpr uint32_t MinRateSample = 400;
+// A granted request that is neither running nor waiting at the engine after
+// this time is taken for lost with its entry.
+constexpr Duration LostGrantAge = std::chrono::milliseconds(1500);
+// Reports while nothing is awaited, and while an adapter is on its way.
+constexpr Duration IdleReportInterval = std::chrono::milliseconds(250);
+constexpr Duration BusyReportInterval = std::chrono::milliseconds(10);
+// An adapter that the engine held recently comes back within this time; before
+// it, a report tells nothing new.
+constexpr Duration FirstLoadCheck = std::chrono::milliseconds(24);
+constexpr Duration EndGrace = std::chrono::seconds(1);
+
+std::string nameOf(std::string_view Model, std::string_view Adapter) {
+  std::string Out(Model);
+  Out.push_back('/');
+  Out.append(Adapter);
+  return Out;
+}
+
+} // namespace
+
+uint32_t adapterHash(std::string_view Model, std::string_view Adapter,
+                     uint64_t Version) {
+  return static_cast<uint32_t>(hash64(nameOf(Model, Adapter), Version));
+}
+
+void SideAdmission::onConfig(const Time &N, const EngineSpec &Engine) {
+  Spec = Engine;
+  HasSpec = true;
+  placeOrder(N);
+}
+
+void SideAdmission::onRelease(const Time &N, const WeightRelease &R) {
+  uint64_t &Known = Released[nameOf(R.Model, R.Adapter)];
+  if (R.Version <= Known)
+    return;
+  Known = R.Version;
+  placeOrder(N);
+}
+
+const HeldModel *SideAdmission::baseModel(std::string_view Model) const {
+  for (const HeldModel &M : Report.Models)
+    if (M.Name == Model)
+      return &M;
+  return nullptr;
+}
+
+uint64_t SideAdmission::releasedVersion(const std::string &Name) const {
+  const auto It = Released.find(Name);
+  return It == Released.end() ? 0 : It->second;
+}
+
+uint64_t SideAdmission::wantedVersion(const AdmissionAsk &A) const {
+  return std::max(A.Version, releasedVersion(nameOf(A.Model, A.Adapter)));
+}
+
+const SideAdmission::AdapterState *
+SideAdmission::held(const std::string &Name) const {
+  const auto It = Adapters.find(Name);
+  return It == Adapters.end() || It->second.Incoming ? nullptr : &It->second;
+}
+
+bool SideAdmission::ready(const AdmissionAsk &A) const {
+  const HeldModel *Base = baseModel(A.Model);
+  if (!Reachable || !Base)
+    return false;
+  if (A.Adapter.empty())
+    return Base->Version >= wantedVersion(A);
+  const AdapterState *S = held(nameOf(A.Model, A.Adapter));
+  return S && S->Version >= wantedVersion(A);
+}
+
+bool SideAdmission::hasRoom(const AdmissionAsk &A) const {
+  if (Spec.BatchSlots > 0 && Grants.size() >= Spec.BatchSlots)
+    return false;
+  const double Room =
+      static_cast<double>(Spec.MemoryTokens) * Opts.memoryShare();
+  return Grants.empty() || Spec.MemoryTokens == 0 ||
+         static_cast<double>(TokensGranted + A.PromptTokens +
+                             A.OutputTokens / 2) <= Room;
+}
+
+Duration SideAdmission::backlog(const Time &N) const {
+  return std::max(Duration(0), PrefillFree - N);
+}
+
+Duration SideAdmission::expectedWait(const Time &N,
+                                     const AdmissionAsk &A) const {
+  Duration Wait = backlog(N);
+  if (!baseModel(A.Model))
+    Wait += Spec.Models.empty() ? std::chrono::seconds(1)
+                                : Spec.Models.front().LoadTime;
+  if (ready(A))
+    return Wait;
+  const auto Ahead = static_cast<int64_t>(Queue.size() / Opts.maxIncoming());
+  return Wait + Opts.adapterLoadTime() * (1 + Ahead);
+}
+
+void SideAdmission::onAsk(const Time &N, AdmissionAsk A) {
+  if (A.Prefetch) {
+    if (!ready(A) && Prefetches.size() < Opts.maxWaiting())
+      Prefetches.push_back({std::move(A), N, N + std::chrono::seconds(1)});
+    return placeOrder(N);
+  }
+  if (!Reachable)
+    return refuse(A, std::chrono::milliseconds(300), "engine_unreachable");
+  const bool Ready = ready(A);
+  if (Ready && hasRoom(A) && Queue.empty())
+    return grant(N, A);
+  const Duration Wait = expectedWait(N, A);
+  if (Wait > A.Patience || Queue.size() >= Opts.maxWaiting())
+    return refuse(A, Wait, Ready ? "engine_full" : "load_too_late");
+  AdmissionReply R;
+  R.What = Verdict::Wait;
+  R.Expected = Wait;
+  R.Reason = Ready ? "engine_full" : "loading";
+  Port.reply(A, R);
+  const auto Where =
+      std::find_if(Queue.begin(), Queue.end(),
+                   [&](const Waiting &W) { return W.Ask.Rank > A.Rank; });
+  // The patience is the entry's estimate of what still helps its caller; the
+  // wait may run over it by as much again before it is given up.
+  const Time Until = N + std::min(A.Patience * 2, A.TimeLeft);
+  Queue.insert(Where, {std::move(A), N, Until});
+  serveQueue(N);
+  placeOrder(N);
+}
+
+void SideAdmission::grant(const Time &N, const AdmissionAsk &A) {
+  AdmissionReply R;
+  R.What = Verdict::Go;
+  R.Expected = backlog(N);
+  R.Reason = "ready";
+  Grant G;
+  if (!A.Adapter.empty()) {
+    G.Adapter = nameOf(A.Model, A.Adapter);
+    AdapterState &S = Adapters[G.Adapter];
+    ++S.Pins;
+    S.LastUsed = N;
+    R.Version = S.Version;
+  }
+  G.Tokens = A.PromptTokens + A.OutputTokens / 2;
+  G.Prompt = A.PromptTokens;
+  G.Granted = N;
+  G.Expires = N + A.TimeLeft + EndGrace;
+  TokensGranted += G.Tokens;
+  PrefillFree =
+      std::max(PrefillFree, N) +
+      Duration(static_cast<int64_t>(A.PromptTokens / PrefillRate * 1000));
+  Grants[{A.Peer, A.Id}] = std::move(G);
+  Port.reply(A, R);
+}
+
+void SideAdmission::refuse(const AdmissionAsk &A, Duration Again,
+                           std::string_view Reason) {
+  AdmissionReply R;
+  R.What = Verdict::Refuse;
+  R.Expected = Again;
+  R.Reason = Reason;
+  Port.reply(A, R);
+}
+
+void SideAdmission::onEnd(const Time &N, const std::string &Peer, uint64_t Id,
+                          Duration FirstToken) {
+  const auto It = Grants.find({Peer, Id});
+  if (It == Grants.end()) {
+    Queue.remove_if(
+        [&](const Waiting &W) { return W.Ask.Id == Id && W.Ask.Peer == Peer; });
+    return;
+  }
+  const Grant &G = It->second;
+  if (FirstToken > Duration(0) && G.Prompt >= MinRateSample) {
+    const double Seen = G.Prompt / (seconds(FirstToken) * 1e3);
+    PrefillRate +=
+        RateWeight *
+        (std::clamp(Seen, MinPrefillRate, MaxPrefillRate) - PrefillRate);
+  }
+  if (!G.Adapter.empty()) {
+    const auto State = Adapters.find(G.Adapter);
+    if (State != Adapters.end() && State->second.Pins > 0)
+      --State->second.Pins;
+  }
+  TokensGranted -= std::min(TokensGranted, G.Tokens);
+  Grants.erase(It);
+  serveQueue(N);
+  placeOrder(N);
+}
+
+void SideAdmission::onReport(const Time &N, const EngineReport &R) {
+  const bool Restarted = Reachable && R.StartedMs != Report.StartedMs;
+  if (Restarted || !Reachable) {
+    Port.log("engine state=up started_ms=" + std::to_string(R.StartedMs) +
+             " orders=" + std::to_string(R.OrderCount) +
+             " models=" + std::to_string(R.Models.size()));
+    if (Restarted) {
+      Grants.clear();
+      TokensGranted = 0;
+      PrefillFree = N;
+      Adapters.clear();
+      Open.reset();
+      NextBaseLoad = N;
+    }
+  }
+  Reachable = true;
+  Report = R;
+  ReportedAt = N;
+  std::map<std::string, AdapterState> Next;
+  const auto Note = [&](const std::string &Model, const HeldAdapter &A,
+                        bool Incoming) {
+    const std::string Name = nameOf(Model, A.Name);
+    AdapterState S;
+    if (const auto It = Adapters.find(Name); It != Adapters.end())
+      S = It->second;
+    else
+      S.LastUsed = N;
+    if (!Incoming)
+      S.Version = A.Version;
+    else if (const auto It = Next.find(Name); It != Next.end())
+      return; // A replacement: the held version goes on serving.
+    S.Incoming = Incoming;
+    Next[Name] = S;
+  };
+  for (const HeldModel &M : R.Models)
+    for (const HeldAdapter &A : M.Adapters)
+      Note(M.Name, A, false);
+  for (const IncomingAdapter &I : R.Incoming)
+    Note(I.Model, I.Adapter, true);
+  Adapters = std::move(Next);
+  if (Open && OpenAnswered) {
+    Open.reset();
+  } else if (Open && R.OrderCount > Open->ExpectedCount) {
+    // Either this order or a later one has been accepted; it is settled.
+    Open.reset();
+  }
+  if (R.Running + R.Waiting == 0)
+    std::erase_if(Grants, [&](const auto &Item) {
+      if (N - Item.second.Granted < LostGrantAge)
+        return false;
+      TokensGranted -= std::min(TokensGranted, Item.second.Tokens);
+      if (const auto It = Adapters.find(Item.second.Adapter);
+          It != Adapters.end() && It->second.Pins > 0)
+        --It->second.Pins;
+      return true;
+    });
+  if (R.Running + R.Waiting == 0)
+    PrefillFree = std::min(PrefillFree, N);
+  serveQueue(N);
+  placeOrder(N);
+}
+
+void SideAdmission::onEngineSilent(const Time &N) {
+  if (Reachable)
+    Port.log("engine state=unreachable waiting=" +
+             std::to_string(Queue.size()));
+  Reachable = false;
+  ReportedAt = N;
+  for (const Waiting &W : Queue)
+    refuse(W.Ask, std::chrono::milliseconds(500), "engine_unreachable");
+  Queue.clear();
+  Prefetches.clear();
+}
+
+void SideAdmission::serveQueue(const Time &N) {
+  for (auto It = Queue.begin(); It != Queue.end();) {
+    if (!ready(It->Ask)) {
+      ++It;
+      continue;
+    }
+    if (!hasRoom(It->Ask))
+      return;
+    const AdmissionAsk A = std::move(It->Ask);
+    It = Queue.erase(It);
+    grant(N, A);
+  }
+}
+
+void SideAdmission::expire(const Time &N) {
+  for (auto It = Queue.begin(); It != Queue.end();) {
+    if (N < It->Until) {
+      ++It;
+      continue;
+    }
+    const AdmissionAsk A = std::move(It->Ask);
+    It = Queue.erase(It);
+    refuse(A, Opts.adapterLoadTime(), "waited_too_long");
+  }
+  std::vector<Key> Lost;
+  for (const auto &[Id, G] : Grants)
+    if (N >= G.Expires)
+      Lost.push_back(Id);
+  for (const Key &Id : Lost)
+    onEnd(N, Id.first, Id.second, Duration(0));
+  Prefetches.remove_if(
+      [&](const Waiting &W) { return N >= W.Until || ready(W.Ask); });
+}
+
+void SideAdmission::onTimer(const Time &N) {
+  expire(N);
+  serveQueue(N);
+  placeOrder(N);
+}
+
+uint32_t SideAdmission::incoming() const {
+  return static_cast<uint32_t>(Report.Incoming.size());
+}
+
+uint32_t SideAdmission::slotsUsed() const {
+  uint32_t Used = incoming();
+  for (const HeldModel &M : Report.Models)
+    Used += static_cast<uint32_t>(M.Adapters.size());
+  return Used;
+}
+
+bool SideAdmission::neededByQueue(const std::string &Name) const {
+  return std::any_of(Queue.begin(), Queue.end(), [&](const Waiting &W) {
+    return nameOf(W.Ask.Model, W.Ask.Adapter) == Name;
+  });
+}
+
+std::vector<const AdmissionAsk *> SideAdmission::wants() const {
+  std::vector<const AdmissionAsk *> Out;
+  for (const Waiting &W : Queue)
+    Out.push_back(&W.Ask);
+  for (const Waiting &W : Prefetches)
+    Out.push_back(&W.Ask);
+  return Out;
+}
+
+void SideAdmission::placeOrder(const Time &N) {
+  if (!HasSpec || !Reachable || N < NoOrderBefore)
+    return;
+  if (Open) {
+    if (OpenAnswered || N - OpenSince < Opts.orderTimeout())
+      return;
+    // Unanswered: the same order with the same count. Whichever of the two is
+    // accepted moves the count, and the other one is refused by it.
+    EngineOrder Again = *Open;
+    give(N, Again.Kind, Again.Model, Again.Adapter);
+    return;
+  }
+  if (orderBaseModel(N))
+    return;
+  for (const AdmissionAsk *A : wants()) {
+    if (A->Adapter.empty() || !baseModel(A->Model) || ready(*A))
+      continue;
+    if (orderAdapter(N, A->Model, A->Adapter, wantedVersion(*A)))
+      return;
+  }
+  // Versions that were announced for adapters held here.
+  for (const HeldModel &M : Report.Models)
+    for (const HeldAdapter &A : M.Adapters)
+      if (const uint64_t Want = releasedVersion(nameOf(M.Name, A.Name));
+          A.Version < Want && orderAdapter(N, M.Name, A.Name, Want))
+        return;
+}
+
+bool SideAdmission::orderBaseModel(const Time &N) {
+  if (Report.Busy || Spec.Models.empty())
+    return false;
+  const ModelSpec &M = Spec.Models.front();
+  const HeldModel *Base = baseModel(M.Name);
+  if (Base && Base->Version >= releasedVersion(nameOf(M.Name, "")))
+    return false;
+  if (N < NextBaseLoad)
+    return false;
+  NextBaseLoad = N + Opts.baseLoadPause();
+  give(N, OrderKind::Load, M.Name, "");
+  return true;
+}
+
+bool SideAdmission::orderAdapter(const Time &N, const std::string &Model,
+                                 const std::string &Adapter, uint64_t Version) {
+  const std::string Name = nameOf(Model, Adapter);
+  if (const auto It = Adapters.find(Name);
+      It != Adapters.end() && It->second.Incoming)
+    return false;
+  for (const IncomingAdapter &I : Report.Incoming)
+    if (I.Model == Model && I.Adapter.Name == Adapter)
+      return false;
+  if (incoming() >= Opts.maxIncoming())
+    return false;
+  if (slotsUsed() >= Spec.AdapterSlots)
+    return evictOne(N, Name);
+  Port.log("load adapter=" + Name + " version=" + std::to_string(Version) +
+           " slots_used=" + std::to_string(slotsUsed()) +
+           " incoming=" + std::to_string(incoming()));
+  ++LoadsOrdered;
+  give(N, OrderKind::Load, Model, Adapter);
+  return true;
+}
+
+bool SideAdmission::evictOne(const Time &N, const std::string &For) {
+  const std::string *Victim = nullptr;
+  Time Oldest{};
+  for (const auto &[Name, S] : Adapters) {
+    if (S.Incoming || S.Pins > 0 || Name == For || neededByQueue(Name))
+      continue;
+    if (!Victim || S.LastUsed < Oldest) {
+      Victim = &Name;
+      Oldest = S.LastUsed;
+    }
+  }
+  if (!Victim)
+    return false;
+  const std::string Name = *Victim;
+  const size_t Slash = Name.find('/');
+  Port.log("evict adapter=" + Name + " for=" + For +
+           " idle_ms=" + std::to_string((N - Oldest).count() / 1000));
+  ++Evictions;
+  // Not granted any more from now on.
+  Adapters.erase(Name);
+  give(N, OrderKind::Unload, Name.substr(0, Slash), Name.substr(Slash + 1));
+  return true;
+}
+
+void SideAdmission::give(const Time &N, OrderKind Kind,
+                         const std::string &Model, const std::string &Adapter) {
+  EngineOrder O;
+  O.Number = NextOrder++;
+  O.Kind = Kind;
+  O.Model = Model;
+  O.Adapter = Adapter;
+  O.ExpectedCount = Report.OrderCount;
+  Open = O;
+  OpenSince = N;
+  OpenAnswered = false;
+  Port.order(O);
+}
+
+void SideAdmission::onOrderOutcome(const Time &N, uint64_t Number,
+                                   OrderOutcome Outcome) {
+  if (!Open || Open->Number != Number)
+    return;
+  if (Outcome == OrderOutcome::Unknown) {
+    // Stays open; a report with a higher count settles it, or the same order
+    // is given again after the timeout.
+    Port.log("order outcome=unknown kind=" +
+             std::string(Open->Kind == OrderKind::Load ? "load" : "unload") +
+             " model=" + Open->Model + " adapter=" + Open->Adapter);
+    return;
+  }
+  const EngineOrder Done = *Open;
+  if (Outcome == OrderOutcome::Accepted || Outcome == OrderOutcome::Holds) {
+    // What the next report will say, so that orders can follow each other
+    // without waiting for it.
+    if (Outcome == OrderOutcome::Accepted || Done.Kind == OrderKind::Unload)
+      Report.OrderCount = Done.ExpectedCount + 1;
+    if (Done.Kind == OrderKind::Load && Outcome == OrderOutcome::Accepted) {
+      if (Done.Adapter.empty()) {
+        Report.Busy = true;
+      } else {
+        Report.Incoming.push_back({Done.Model, {Done.Adapter, 0}});
+        AdapterState &S = Adapters[nameOf(Done.Model, Done.Adapter)];
+        if (S.Version == 0)
+          S.Incoming = true;
+        S.Ordered = N;
+        S.LastUsed = N;
+      }
+    } else if (Done.Kind == OrderKind::Unload && !Done.Adapter.empty()) {
+      for (HeldModel &M : Report.Models)
+        if (M.Name == Done.Model)
+          std::erase_if(M.Adapters, [&](const HeldAdapter &A) {
+            return A.Name == Done.Adapter;
+          });
+    }
+    Open.reset();
+    if (Outcome == OrderOutcome::Holds && Done.Kind == OrderKind::Load)
+      ReportedAt = Time{};
+    return placeOrder(N);
+  }
+  Port.log(
+      "order outcome=" +
+      std::string(Outcome == OrderOutcome::Conflict ? "conflict" : "refused") +
+      " model=" + Done.Model + " adapter=" + Done.Adapter);
+  // A fresh report tells the count; until then no further order.
+  OpenAnswered = true;
+  ReportedAt = Time{};
+  NoOrderBefore = N + BusyReportInterval;
+}
+
+EngineLoad SideAdmission::load(const Time &N) const {
+  EngineLoad Out;
+  Out.Serving = Reachable && !Report.Models.empty();
+  Out.Backlog = backlog(N);
+  Out.PrefillRate = PrefillRate;
+  Out.Running = static_cast<uint32_t>(Grants.size());
+  Out.MemoryFree =
+      Spec.MemoryTokens - std::min(Spec.MemoryTokens, TokensGranted);
+  for (const auto &[Name, S] : Adapters) {
+    if (S.Incoming)
+      continue;
+    const size_t Slash = Name.find('/');
+    Out.Held.push_back(
+        adapterHash(Name.substr(0, Slash), Name.substr(Slash + 1), S.Version));
+  }
+  return Out;
+}
+
+bool SideAdmission::awaitsReport() const {
+  return OpenAnswered || Report.Busy || !Report.Incoming.empty() ||
+         (Open.has_value() && !OpenAnswered);
+}
+
+Time SideAdmission::reportDue(const Time &N) const {
+  if (ReportedAt == Time{})
+    return N;
+  if (!Reachable)
+    return ReportedAt + IdleReportInterval / 2;
+  if (!awaitsReport())
+    return ReportedAt + IdleReportInterval;
+  Time Soonest = ReportedAt + BusyReportInterval;
+  Time Youngest{};
+  for (const auto &[Name, S] : Adapters)
+    if (S.Incoming)
+      Youngest = std::max(Youngest, S.Ordered);
+  if (incoming() == 1 && Youngest != Time{})
+    Soonest = std::max(Soonest, Youngest + FirstLoadCheck);
+  return Soonest;
+}
+
+} // namespace goldcrestlink
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -67,16 +67,43 @@
     F.problem("'routing' names no strategy", "routing");
 }
 
+void readStore(FieldReader &F, Settings &Out) {
+  F.endpoint("address", Out.Fleet.Store, Need::Required);
+}
+
+void readFleet(FieldReader &F, Settings &Out) {
+  FleetSettings &S = Out.Fleet;
+  F.text("address", S.Address, Need::Required);
+  F.integer("link_port", S.LinkPort, 1, 65535, Need::Required);
+  F.integer("metrics_port", S.MetricsPort, 0, 65535);
+  F.endpoint("ready_listen", S.ReadyListen);
+  F.words("peers", S.PeerAddresses);
+  F.endpoint("engine", S.Engine);
+  F.text("service", S.Service);
+}
+
+void readBounds(FieldReader &F, Settings &Out) {
+  FleetSettings &S = Out.Fleet;
+  double WindowSeconds = seconds(S.RetryWindow);
+  double StopSeconds = seconds(S.StopTime);
+  F.number("retry_ratio", S.RetryRatio, 0, 10);
+  F.number("retry_slack", S.RetrySlack, 0, 1e9);
+  F.number("retry_window_s", WindowSeconds, 0.1, 3600);
+  F.number("stop_s", StopSeconds, 0.5, 3600);
+  S.RetryWindow = fromSeconds(WindowSeconds);
+  S.StopTime = fromSeconds(StopSeconds);
+}
+
 struct SectionRow {
   const char *Kind;
   void (*Read)(FieldReader &, Settings &);
 };
 
-constexpr SectionRow SectionRows[] = {{"process", readProcess},
-                                      {"side", readSide},
-                                      {"platform", readPlatform},
-                                      {"limits", readLimits},
-                                      {"strategy", readStrategy}};
+constexpr SectionRow SectionRows[] = {
+    {"process", readProcess},   {"side", readSide},
+    {"platform", readPlatform}, {"limits", readLimits},
+    {"store", readStore},       {"fleet", readFleet},
+    {"bounds", readBounds},     {"strategy", readStrategy}};
 
 } // namespace
 
@@ -86,6 +113,8 @@
   bool HasProcess = false;
   bool HasSide = false;
   bool HasPlatform = false;
+  bool HasStore = false;
+  bool HasFleet = false;
   for (const IniSection &S : readIni(File, Text, Findings)) {
     const SectionRow *Found = nullptr;
     for (const SectionRow &Row : SectionRows)
@@ -98,15 +127,19 @@
     HasProcess |= S.Kind == "process";
     HasSide |= S.Kind == "side";
     HasPlatform |= S.Kind == "platform";
+    HasStore |= S.Kind == "store";
+    HasFleet |= S.Kind == "fleet";
     FieldReader F(File, S, Findings);
     Found->Read(F, Out);
     F.finish();
   }
   if (!HasProcess)
     Findings.add({File, 0}, "section [process] is missing");
-  if (!HasPlatform)
-    Findings.add({File, 0}, "section [platform] is missing");
-  if (Out.ProcessRole == Role::Side && !HasSide)
+  if (!HasPlatform && !HasStore)
+    Findings.add({File, 0}, "section [platform] is missing, and so is [store]");
+  if (HasStore && !HasFleet)
+    Findings.add({File, 0}, "section [store] needs section [fleet]");
+  if (Out.ProcessRole == Role::Side && !HasSide && !HasStore)
     Findings.add({File, 0}, "role side needs section [side]");
   if (!Findings.empty())
     throw FindingError(Findings);
--- a/config/settings.h
+++ b/config/settings.h
@@ -14,6 +14,32 @@
 
 enum class Role { Entry, Side };
 
+/// Keys of a process that runs on the platform's store: entries call upstreams
+/// themselves, and sides admit and load for the engine on their instance.
+struct FleetSettings {
+  /// The platform's store; port 0: the process does not run on it.
+  http::Endpoint Store{"", 0};
+  /// Entry: where the platform asks whether it is ready.
+  http::Endpoint ReadyListen{"127.0.0.1", 8081};
+  /// Entries that may know the configuration when the store does not answer.
+  std::vector<std::string> PeerAddresses;
+  /// Own IP address, and the port on which every side listens for entries.
+  std::string Address;
+  int64_t LinkPort = 7000;
+  /// Port on which metrics are served.
+  int64_t MetricsPort = 9464;
+  /// Side: its engine, and the engine's service.
+  http::Endpoint Engine{"127.0.0.1", 8000};
+  std::string Service;
+  /// Second sends that all entries together may make to a service in a window:
+  /// this share of its requests, and so many more.
+  double RetryRatio = 0.2;
+  double RetrySlack = 50;
+  Duration RetryWindow = std::chrono::seconds(10);
+  /// After SIGTERM, the process is gone by then.
+  Duration StopTime = std::chrono::seconds(8);
+};
+
 /// Plain values; immutable after loading.
 struct Settings {
   Role ProcessRole = Role::Entry;
@@ -46,6 +72,8 @@
   bool BrokeredLoads = true;
   /// Side: evict the least recently used adapter, not the least demanded.
   bool EvictByRecency = false;
+  FleetSettings Fleet;
+  bool onFleet() const { return Fleet.Store.Port != 0; }
 };
 
 /// Parses and checks the text of a settings file. Throws FindingError with
--- /dev/null
+++ b/daemon/fleet_entry.cc
@@ -0,0 +1,113 @@
+// The control thread is the calling thread: it follows the store, hands each
+// new belief to the traffic thread as a whole, and runs the stop.
+#include "daemon/fleet_entry.h"
+
+#include <thread>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "base/random.h"
+#include "daemon/entry_traffic.h"
+#include "daemon/process_control.h"
+#include "daemon/store_follower.h"
+
+namespace goldcrestlink {
+
+namespace {
+
+// The platform asks for readiness every second and stops sending after two
+// misses; until then new connections are still served.
+constexpr Duration StopNotice = std::chrono::milliseconds(2600);
+constexpr Duration StopPoll = std::chrono::milliseconds(20);
+// Left for the process to end before it would be killed.
+constexpr Duration StopMargin = std::chrono::milliseconds(400);
+// Time for the last answers to leave once no call is in progress.
+constexpr Duration StopFlush = std::chrono::milliseconds(100);
+
+class FleetEntry {
+public:
+  FleetEntry(const Settings &Given, const std::string &File)
+      : S(Given), Seed(freshSeed()),
+        Control(Io, S, File,
+                {[this] { beginStop(); },
+                 [this](const Settings &New) { S = New; },
+                 [this](std::function<void(std::string)> Done) {
+                   Traffic.metrics([this, Done](std::string Page) {
+                     Done(Page + "goldcrestlink_store_calls_total " +
+                          std::to_string(StoreCalls) + "\n");
+                   });
+                 }}),
+        Traffic(S, Seed,
+                {[this](std::string Line) { Control.log(std::move(Line)); }}),
+        Follower(
+            Io, S.Fleet.Store, StoreFollower::Options(), Seed + 1,
+            [this] { publish(); },
+            [this](std::string Line) { Control.log(std::move(Line)); }),
+        StopTimer(Io) {}
+
+  int run() {
+    Follower.start();
+    std::thread Thread([this] { Traffic.run(); });
+    Io.run();
+    Traffic.stop();
+    Thread.join();
+    Control.log("stop instance=" + S.InstanceName);
+    Control.flush();
+    return 0;
+  }
+
+private:
+  void publish() {
+    StoreCalls = Follower.storeCalls();
+    Traffic.publish(std::make_shared<const Catalog>(Follower.catalog()));
+  }
+
+  void beginStop() {
+    if (Stopping)
+      return;
+    Stopping = true;
+    StopDeadline = presentTime().Steady + S.Fleet.StopTime - StopMargin;
+    Traffic.announceStop();
+    StopTimer.expires_after(StopNotice);
+    StopTimer.async_wait([this](boost::system::error_code) {
+      Traffic.stopAccepting();
+      awaitDrained(Time{});
+    });
+  }
+
+  // \p EmptySince is when the last call was seen to end.
+  void awaitDrained(Time EmptySince) {
+    const Time N = presentTime().Steady;
+    if (Traffic.callsInProgress() > 0)
+      EmptySince = Time{};
+    else if (EmptySince == Time{})
+      EmptySince = N;
+    if ((EmptySince != Time{} && N - EmptySince >= StopFlush) ||
+        N >= StopDeadline)
+      return Io.stop();
+    StopTimer.expires_after(StopPoll);
+    StopTimer.async_wait([this, EmptySince](boost::system::error_code) {
+      awaitDrained(EmptySince);
+    });
+  }
+
+  Settings S;
+  uint64_t Seed;
+  boost::asio::io_context Io{1};
+  ProcessControl Control;
+  EntryTraffic Traffic;
+  StoreFollower Follower;
+  boost::asio::steady_timer StopTimer;
+  std::atomic<uint64_t> StoreCalls{0};
+  Time StopDeadline{};
+  bool Stopping = false;
+};
+
+} // namespace
+
+int runFleetEntry(const Settings &S, const std::string &File) {
+  return FleetEntry(S, File).run();
+}
+
+} // namespace goldcrestlink
--- /dev/null
+++ b/daemon/forward_metrics.cc
@@ -0,0 +1,91 @@
+// Latencies go into fixed buckets, so that pages of several entries can be
+// added up; counts and sums are kept by Boost.Accumulators.
+#include "daemon/forward_metrics.h"
+
+#include <array>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace goldcrestlink {
+
+namespace {
+namespace acc = boost::accumulators;
+constexpr std::array<double, 10> BucketSeconds = {0.025, 0.05, 0.1, 0.15, 0.3,
+                                                  0.6,   1,    2,   4,    10};
+
+class Histogram {
+public:
+  void add(double Value) {
+    Moments(Value);
+    for (size_t I = 0; I < BucketSeconds.size(); ++I)
+      if (Value <= BucketSeconds[I])
+        ++AtMost[I];
+  }
+
+  void print(std::string &Out, const std::string &Name,
+             const std::string &Labels) const {
+    for (size_t I = 0; I < BucketSeconds.size(); ++I)
+      Out += Name + "_bucket{" + Labels + ",le=\"" +
+             std::to_string(BucketSeconds[I]) + "\"} " +
+             std::to_string(AtMost[I]) + "\n";
+    const std::string Count = std::to_string(acc::count(Moments));
+    Out += Name + "_bucket{" + Labels + ",le=\"+Inf\"} " + Count + "\n";
+    Out += Name + "_sum{" + Labels + "} " + std::to_string(acc::sum(Moments)) +
+           "\n";
+    Out += Name + "_count{" + Labels + "} " + Count + "\n";
+  }
+
+private:
+  acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>
+      Moments;
+  std::array<uint64_t, BucketSeconds.size()> AtMost{};
+};
+} // namespace
+
+struct ForwardMetrics::Series {
+  uint64_t Count = 0;
+  Histogram FirstByte;
+  Histogram Total;
+};
+
+ForwardMetrics::ForwardMetrics() = default;
+ForwardMetrics::~ForwardMetrics() = default;
+
+void ForwardMetrics::record(uint32_t Rank, std::string_view Outcome,
+                            Duration FirstByte, Duration Total) {
+  auto &Slot = Calls[{Rank, std::string(Outcome)}];
+  if (!Slot)
+    Slot = std::make_unique<Series>();
+  ++Slot->Count;
+  if (FirstByte > Duration(0))
+    Slot->FirstByte.add(seconds(FirstByte));
+  Slot->Total.add(seconds(Total));
+}
+
+void ForwardMetrics::count(std::string_view Name, uint64_t By) {
+  const auto It = Counters.find(Name);
+  if (It == Counters.end())
+    Counters.emplace(Name, By);
+  else
+    It->second += By;
+}
+
+std::string ForwardMetrics::text() const {
+  std::string Out;
+  for (const auto &[Key, S] : Calls) {
+    const std::string Labels = "rank=\"" + std::to_string(Key.first) +
+                               "\",outcome=\"" + Key.second + "\"";
+    Out += "goldcrestlink_calls_total{" + Labels + "} " +
+           std::to_string(S->Count) + "\n";
+    S->FirstByte.print(Out, "goldcrestlink_first_byte_seconds", Labels);
+    S->Total.print(Out, "goldcrestlink_call_seconds", Labels);
+  }
+  for (const auto &[Name, Value] : Counters)
+    Out += "goldcrestlink_" + Name + " " + std::to_string(Value) + "\n";
+  return Out;
+}
+
+} // namespace goldcrestlink
--- a/daemon/main.cc
+++ b/daemon/main.cc
@@ -1,6 +1,7 @@
 // The daemon: goldcrestlinkd --settings FILE. Exit codes: 0 stopped as asked,
 // 1 could not start or failed, 2 bad settings or usage.
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 
 #include <CLI/CLI.hpp>
@@ -9,8 +10,23 @@
 #include "base/finding.h"
 #include "config/settings.h"
 #include "daemon/entry_daemon.h"
+#include "daemon/fleet_entry.h"
+#include "daemon/fleet_side.h"
 #include "daemon/side_daemon.h"
 
+namespace {
+
+int runRole(const goldcrestlink::Settings &S, const std::string &File) {
+  using goldcrestlink::Role;
+  if (S.onFleet())
+    return S.ProcessRole == Role::Entry ? goldcrestlink::runFleetEntry(S, File)
+                                        : goldcrestlink::runFleetSide(S, File);
+  return S.ProcessRole == Role::Entry ? goldcrestlink::runEntry(S)
+                                      : goldcrestlink::runSide(S);
+}
+
+} // namespace
+
 int main(int Argc, char **Argv) {
   CLI::App App{"goldcrestlink daemon: an entry before, or a side beside, the "
                "upstreams. Stops gracefully on SIGTERM."};
@@ -18,6 +34,9 @@
   bool PrintDefaults = false;
   bool CheckOnly = false;
   App.add_option("--settings", File, "settings file (INI)");
+  std::string Variable;
+  App.add_option("--settings-variable", Variable,
+                 "environment variable that holds the settings file's path");
   App.add_flag("--print-defaults", PrintDefaults,
                "print a settings file with all defaults");
   App.add_flag("--check", CheckOnly, "check the settings and exit");
@@ -30,19 +49,20 @@
     std::fputs(goldcrestlink::defaultSettingsText().c_str(), stdout);
     return 0;
   }
+  if (const char *Path =
+          Variable.empty() ? nullptr : std::getenv(Variable.c_str()))
+    File = Path;
   if (File.empty()) {
     std::fputs("goldcrestlinkd: --settings FILE is needed\n", stderr);
     return 2;
   }
-  FLAGS_logtostderr = true;
+  FLAGS_logtostdout = true;
   google::InitGoogleLogging(Argv[0]);
   try {
     const auto Loaded = goldcrestlink::loadSettings(File);
     if (CheckOnly)
       return 0;
-    return Loaded.ProcessRole == goldcrestlink::Role::Entry
-               ? goldcrestlink::runEntry(Loaded)
-               : goldcrestlink::runSide(Loaded);
+    return runRole(Loaded, File);
   } catch (const goldcrestlink::FindingError &E) {
     std::fputs(E.what(), stderr);
     return 2;
--- /dev/null
+++ b/forward/engine_board.cc
@@ -0,0 +1,174 @@
+// Each adapter has its own rendezvous order of the engines; its first few are
+// its homes, as many as its demand needs. A cold adapter thus returns to the
+// one engine that still has it close at hand, and a hot one gets replicas. The
+// cost of an engine is the wait for its prompts, plus a load if it does not
+// hold the adapter. One ranking looks at each engine once.
+#include "forward/engine_board.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/hash.h"
+
+namespace goldcrestlink::forward {
+
+namespace {
+// Time constants over which demand and failures are averaged.
+constexpr double DemandSeconds = 2.0;
+constexpr double FailureSeconds = 3.0;
+// Weight of one outcome in the share of failures.
+constexpr double OutcomeWeight = 0.2;
+constexpr double DefaultPrefillRate = 20;
+constexpr unsigned MaxBackoffDoublings = 3;
+
+std::string nameOf(const EngineWant &W) { return W.Model + "/" + W.Adapter; }
+
+double decay(Duration Age, double TimeConstant) {
+  return std::exp(-seconds(Age) / TimeConstant);
+}
+} // namespace
+
+void EngineBoard::onLoad(Time N, const std::string &Id,
+                         const EngineLoad &Load) {
+  View &V = Views[Id];
+  V.Load = Load;
+  V.Known = true;
+  V.Free = N + Load.Backlog;
+  V.SilentUntil = Time{};
+}
+
+void EngineBoard::onDemand(Time N, const EngineWant &Want) {
+  if (Want.Adapter.empty())
+    return;
+  if (Demands.size() >= Opts.maxAdapters())
+    std::erase_if(Demands, [&](const auto &Item) {
+      return N - Item.second.At > std::chrono::seconds(10);
+    });
+  if (Demands.size() >= Opts.maxAdapters())
+    return;
+  Demand &D = Demands[nameOf(Want)];
+  D.Rate = D.Rate * decay(N - D.At, DemandSeconds) + 1 / DemandSeconds;
+  D.At = N;
+}
+
+double EngineBoard::rate(Time N, const std::string &Name) const {
+  const auto It = Demands.find(Name);
+  return It == Demands.end()
+             ? 0
+             : It->second.Rate * decay(N - It->second.At, DemandSeconds);
+}
+
+void EngineBoard::onSent(Time N, const std::string &Id, uint32_t PromptTokens) {
+  View &V = Views[Id];
+  V.Free =
+      std::max(V.Free, N) + Duration(static_cast<int64_t>(
+                                PromptTokens * 1000.0 / V.Load.PrefillRate));
+}
+
+void EngineBoard::onOutcome(Time N, const std::string &Id, bool Failed) {
+  View &V = Views[Id];
+  V.Failures =
+      failureShare(N, V) * (1 - OutcomeWeight) + (Failed ? OutcomeWeight : 0);
+  V.FailuresAt = N;
+  if (!Failed) {
+    V.UnreachableCount = 0;
+    V.UnreachableUntil = Time{};
+  }
+}
+
+double EngineBoard::failureShare(Time N, const View &V) const {
+  return V.Failures * decay(N - V.FailuresAt, FailureSeconds);
+}
+
+void EngineBoard::onSideSilent(Time N, const std::string &Id) {
+  Views[Id].SilentUntil = N + Opts.silencePause();
+}
+
+void EngineBoard::onSideAnswered(const std::string &Id) {
+  Views[Id].SilentUntil = Time{};
+}
+
+void EngineBoard::onUnreachable(Time N, const std::string &Id) {
+  View &V = Views[Id];
+  const unsigned Doublings = std::min(V.UnreachableCount, MaxBackoffDoublings);
+  V.UnreachableUntil = N + Opts.silencePause() * (1 << Doublings);
+  ++V.UnreachableCount;
+}
+
+void EngineBoard::onReplaced(const std::string &Id) {
+  Views[Id].Replaced = true;
+}
+
+void EngineBoard::retain(const std::map<std::string, UpstreamRecord> &Known) {
+  std::erase_if(Views,
+                [&](const auto &Item) { return !Known.contains(Item.first); });
+}
+
+double EngineBoard::prefillRate(const std::string &Id) const {
+  const auto It = Views.find(Id);
+  return It == Views.end() ? DefaultPrefillRate : It->second.Load.PrefillRate;
+}
+
+bool EngineBoard::sideAnswers(Time N, const std::string &Id) const {
+  const auto It = Views.find(Id);
+  return It == Views.end() || N >= It->second.SilentUntil;
+}
+
+size_t EngineBoard::homes(Time N, const EngineWant &Want) const {
+  if (Want.Adapter.empty())
+    return 0;
+  const double FleetRate = rate(N, nameOf(Want)) * static_cast<double>(Entries);
+  const double Busy =
+      FleetRate * Want.PromptTokens / (DefaultPrefillRate * 1000.0);
+  return 1 + static_cast<size_t>(Busy / Opts.homeUtilisation());
+}
+
+std::vector<EngineCandidate>
+EngineBoard::rank(Time N, const EngineWant &Want,
+                  std::span<const UpstreamRecord *const> Among) const {
+  const uint32_t Wanted = adapterHash(Want.Model, Want.Adapter, Want.Version);
+  const uint64_t Key = hash64(nameOf(Want));
+  std::vector<std::pair<uint64_t, const UpstreamRecord *>> Order;
+  for (const UpstreamRecord *U : Among)
+    Order.emplace_back(mixHash(Key, hash64(U->Id)), U);
+  std::sort(Order.begin(), Order.end(), std::greater<>());
+  const size_t Homes = homes(N, Want);
+  std::vector<EngineCandidate> Out;
+  static const View Unknown;
+  size_t Position = 0;
+  for (const auto &[Score, U] : Order) {
+    const auto It = Views.find(U->Id);
+    const View &V = It == Views.end() ? Unknown : It->second;
+    if (V.Replaced || N < V.UnreachableUntil || (V.Known && !V.Load.Serving)) {
+      continue;
+    }
+    EngineCandidate C;
+    C.Upstream = U;
+    C.IsHome = Position < Homes;
+    ++Position;
+    C.SideAnswers = N >= V.SilentUntil;
+    C.Holds = Want.Adapter.empty() ||
+              std::find(V.Load.Held.begin(), V.Load.Held.end(), Wanted) !=
+                  V.Load.Held.end();
+    if (!C.SideAnswers && !C.Holds)
+      continue;
+    C.Expected = std::max(Duration(0), V.Free - N) +
+                 Duration(static_cast<int64_t>(Want.PromptTokens * 1000.0 /
+                                               V.Load.PrefillRate));
+    if (!C.Holds)
+      C.Expected += C.IsHome ? Opts.homeLoadTime() : Opts.loadTime();
+    C.Cost = C.Expected;
+    if (U->DataCentre != Opts.dataCentre())
+      C.Cost += Opts.distanceCost();
+    C.Cost += Duration(static_cast<int64_t>(
+        failureShare(N, V) * static_cast<double>(Opts.failureCost().count())));
+    Out.push_back(C);
+  }
+  std::stable_sort(Out.begin(), Out.end(),
+                   [](const EngineCandidate &A, const EngineCandidate &B) {
+                     return A.Cost < B.Cost;
+                   });
+  return Out;
+}
+
+} // namespace goldcrestlink::forward
--- /dev/null
+++ b/forward/service_balancer.cc
@@ -0,0 +1,83 @@
+// One pass over the service's upstreams per choice. Shares of places are equal
+// among entries and at least one, so an entry that is alone may use them all.
+#include "forward/service_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace goldcrestlink::forward {
+
+namespace {
+constexpr double FailureSeconds = 3.0;
+constexpr double OutcomeWeight = 0.2;
+constexpr unsigned MaxBackoffDoublings = 3;
+
+double aged(double Share, Duration Age) {
+  return Share * std::exp(-seconds(Age) / FailureSeconds);
+}
+} // namespace
+
+void ServiceBalancer::onSent(const std::string &Id) { ++Views[Id].Outstanding; }
+
+void ServiceBalancer::onEnded(Time N, const std::string &Id, bool Failed) {
+  View &V = Views[Id];
+  if (V.Outstanding > 0)
+    --V.Outstanding;
+  V.Failures = aged(V.Failures, N - V.FailuresAt) * (1 - OutcomeWeight) +
+               (Failed ? OutcomeWeight : 0);
+  V.FailuresAt = N;
+  if (!Failed) {
+    V.Pauses = 0;
+    V.PausedUntil = Time{};
+  }
+}
+
+void ServiceBalancer::onUnreachable(Time N, const std::string &Id) {
+  View &V = Views[Id];
+  V.PausedUntil =
+      N + Opts.failurePause() * (1 << std::min(V.Pauses, MaxBackoffDoublings));
+  ++V.Pauses;
+}
+
+void ServiceBalancer::onReplaced(const std::string &Id) {
+  Views[Id].Replaced = true;
+}
+
+void ServiceBalancer::setEntries(size_t Count) {
+  Entries = std::max<size_t>(1, Count);
+}
+
+void ServiceBalancer::retain(
+    const std::map<std::string, UpstreamRecord> &Known) {
+  std::erase_if(Views, [&](const auto &Item) {
+    return !Known.contains(Item.first) && Item.second.Outstanding == 0;
+  });
+}
+
+const UpstreamRecord *
+ServiceBalancer::choose(Time N, std::span<const UpstreamRecord *const> Among,
+                        const std::set<std::string> &Excluded) const {
+  const UpstreamRecord *Best = nullptr;
+  double BestCost = 0;
+  static const View Unknown;
+  for (const UpstreamRecord *U : Among) {
+    const auto It = Views.find(U->Id);
+    const View &V = It == Views.end() ? Unknown : It->second;
+    const double Share = std::max(1.0, U->Slots * Opts.queueFactor() /
+                                           static_cast<double>(Entries));
+    if (V.Replaced || N < V.PausedUntil || V.Outstanding >= Share ||
+        Excluded.contains(U->Id))
+      continue;
+    double Cost =
+        V.Outstanding + Opts.failureCost() * aged(V.Failures, N - V.FailuresAt);
+    if (U->DataCentre != Opts.dataCentre())
+      Cost += Opts.distanceCost();
+    if (!Best || Cost < BestCost) {
+      Best = U;
+      BestCost = Cost;
+    }
+  }
+  return Best;
+}
+
+} // namespace goldcrestlink::forward
--- a/http/client.cc
+++ b/http/client.cc
@@ -2,13 +2,21 @@
 // the response in parts, handing each part over as it comes. A call on a kept
 // connection that the peer closed before any response byte is repeated once on
 // a fresh connection only if its method is safe to repeat (GET).
-// Idle connections are bounded per client.
+// Idle connections are bounded per client, and dropped by age before the peer
+// is expected to close them. Request and answer are transferred at the same
+// time, since a peer may answer before it has read a long body; a connection on
+// which the answer came first is closed. Keep-alive probes find connections
+// that have gone silent.
 #include "http/client.h"
 
+#include <charconv>
 #include <map>
 #include <optional>
 #include <stdexcept>
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
@@ -27,16 +35,62 @@
 constexpr size_t ReadBufferBytes = 1024 * 1024;
 // Bodies are handed on in parts, so the limit only has to be out of reach.
 constexpr uint64_t MaxBodyBytes = uint64_t(1) << 50;
+// A connection whose peer acknowledges nothing for this long is given up.
+constexpr int ProbeIdleSeconds = 1;
+constexpr int ProbeIntervalSeconds = 1;
+constexpr int ProbeCount = 2;
+constexpr int UserTimeoutMs = 2500;
+// A kept connection is left this long before the peer's announced timeout.
+constexpr Duration IdleMargin = std::chrono::milliseconds(700);
+
+void setProbes(Tcp::socket &Socket) {
+  const int Handle = Socket.native_handle();
+  const auto Set = [&](int Level, int Name, int Value) {
+    // Best effort: without probes, the call's own time limits remain.
+    (void)setsockopt(Handle, Level, Name, &Value, sizeof(Value));
+  };
+  Set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  Set(IPPROTO_TCP, TCP_KEEPIDLE, ProbeIdleSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPINTVL, ProbeIntervalSeconds);
+  Set(IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
+  Set(IPPROTO_TCP, TCP_USER_TIMEOUT, UserTimeoutMs);
+  Set(IPPROTO_TCP, TCP_NODELAY, 1);
+}
+
+// The time in "Keep-Alive: timeout=5"; zero if there is none.
+Duration announcedIdleTime(std::string_view Field) {
+  const size_t At = Field.find("timeout=");
+  if (At == std::string_view::npos)
+    return Duration(0);
+  Field.remove_prefix(At + 8);
+  int Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Field.data(), Field.data() + Field.size(), Value);
+  return Error == std::errc() ? std::chrono::seconds(Value) : Duration(0);
+}
+
+Time steadyNow() { return presentTime().Steady; }
 } // namespace
 
 struct Client::Pool {
   explicit Pool(asio::io_context &Io) : Io(Io) {}
 
-  std::optional<Tcp::socket> take(const std::string &Key) {
+  struct Kept {
+    Tcp::socket Socket;
+    Time Since;
+    // Not used again after this.
+    Time Until;
+  };
+
+  std::optional<Tcp::socket> take(const std::string &Key, Duration MaxAge) {
     auto It = Idle.find(Key);
+    const Time N = steadyNow();
     while (It != Idle.end() && !It->second.empty()) {
-      Tcp::socket Socket = std::move(It->second.back());
+      Kept Last = std::move(It->second.back());
       It->second.pop_back();
+      if (N >= Last.Until || N - Last.Since > MaxAge)
+        continue;
+      Tcp::socket Socket = std::move(Last.Socket);
       ErrorCode Error;
       Socket.non_blocking(true, Error);
       char Byte;
@@ -47,14 +101,16 @@
     return std::nullopt;
   }
 
-  void give(const std::string &Key, Tcp::socket Socket) {
+  void give(const std::string &Key, Tcp::socket Socket, Duration Usable) {
     auto &List = Idle[Key];
+    const Time N = steadyNow();
+    std::erase_if(List, [&](const Kept &K) { return N >= K.Until; });
     if (List.size() < MaxIdlePerEndpoint)
-      List.push_back(std::move(Socket));
+      List.push_back({std::move(Socket), N, N + Usable});
   }
 
   asio::io_context &Io;
-  std::map<std::string, std::vector<Tcp::socket>> Idle;
+  std::map<std::string, std::vector<Kept>> Idle;
 };
 
 namespace {
@@ -70,8 +126,12 @@
     Message.method_string(What.Method);
     Message.target(What.Target);
     Message.set(bhttp::field::host, Key);
-    for (const Header &H : What.Fields)
-      Message.set(H.Name, H.Value);
+    for (const Header &H : What.Fields) {
+      if (beast::iequals(H.Name, "Host"))
+        Message.set(bhttp::field::host, H.Value);
+      else
+        Message.insert(H.Name, H.Value);
+    }
     Message.body() = std::move(What.Body);
     Message.keep_alive(!Options.freshConnection());
     Message.prepare_payload();
@@ -80,7 +140,7 @@
 
   void run() {
     if (!Options.freshConnection())
-      if (auto Socket = Idle->take(Key)) {
+      if (auto Socket = Idle->take(Key, Options.maxIdleAge())) {
         Stream.emplace(std::move(*Socket));
         Reused = true;
         return write();
@@ -104,37 +164,46 @@
         return;
       if (Error)
         return Self->fail(CallError::NotSent, Error);
-      ErrorCode Ignored;
-      Self->Stream->socket().set_option(Tcp::no_delay(true), Ignored);
+      setProbes(Self->Stream->socket());
       Self->write();
     });
   }
 
   void write() {
+    Written = false;
     Stream->expires_after(nanos(Options.silenceTimeout()));
     bhttp::async_write(*Stream, Message,
-                       [Self = shared_from_this()](ErrorCode Error, size_t) {
-                         if (Self->Over)
+                       [Self = shared_from_this(),
+                        Attempt = Attempt](ErrorCode Error, size_t Bytes) {
+                         if (Self->Over || Attempt != Self->Attempt)
                            return;
-                         if (Error)
-                           return Self->brokenBeforeHead(Error);
-                         Self->Parser.body_limit(MaxBodyBytes);
-                         Self->readHead();
+                         Self->Written = !Error;
+                         // Nothing was taken by a connection that the peer had
+                         // closed. Other errors show when the answer is read.
+                         if (Error && Bytes == 0 &&
+                             kindOf(Error) == CallError::Broken)
+                           Self->brokenBeforeHead(Error, true);
                        });
+    Parser.emplace();
+    Parser->body_limit(MaxBodyBytes);
+    if (Message.method() == bhttp::verb::head)
+      Parser->skip(true);
+    readHead();
   }
 
   void readHead() {
     Stream->expires_after(nanos(Options.silenceTimeout()));
     bhttp::async_read_header(
-        *Stream, Buffer, Parser,
-        [Self = shared_from_this()](ErrorCode Error, size_t) {
-          if (Self->Over)
+        *Stream, Buffer, *Parser,
+        [Self = shared_from_this(), Attempt = Attempt](ErrorCode Error,
+                                                       size_t) {
+          if (Self->Over || Attempt != Self->Attempt)
             return;
           if (Error)
-            return Self->brokenBeforeHead(Error);
+            return Self->brokenBeforeHead(Error, false);
           ResponseHead Head;
-          Head.Status = Self->Parser.get().result_int();
-          for (const auto &F : Self->Parser.get())
+          Head.Status = Self->Parser->get().result_int();
+          for (const auto &F : Self->Parser->get())
             Head.Fields.push_back(
                 {std::string(F.name_string()), std::string(F.value())});
           if (Self->On.OnHead)
@@ -146,7 +215,7 @@
   void afterPart() {
     if (Over)
       return;
-    std::string &Body = Parser.get().body();
+    std::string &Body = Parser->get().body();
     if (!Body.empty()) {
       std::string Part = std::move(Body);
       Body.clear();
@@ -155,11 +224,11 @@
       if (Over)
         return;
     }
-    if (Parser.is_done())
+    if (Parser->is_done())
       return done();
     Stream->expires_after(nanos(Options.silenceTimeout()));
     bhttp::async_read_some(
-        *Stream, Buffer, Parser,
+        *Stream, Buffer, *Parser,
         [Self = shared_from_this()](ErrorCode Error, size_t) {
           if (Self->Over)
             return;
@@ -171,10 +240,16 @@
 
   void done() {
     Over = true;
-    if (Parser.get().keep_alive() && !Options.freshConnection() &&
+    if (Parser->get().keep_alive() && !Options.freshConnection() && Written &&
         Buffer.size() == 0) {
       Stream->expires_never();
-      Idle->give(Key, Stream->release_socket());
+      const Duration Announced =
+          announcedIdleTime(std::string(Parser->get()["Keep-Alive"]));
+      const Duration Usable =
+          Announced > Duration(0)
+              ? std::max(Announced - IdleMargin, Announced / 2)
+              : Options.maxIdleAge();
+      Idle->give(Key, Stream->release_socket(), Usable);
     } else {
       closeSocket();
     }
@@ -182,15 +257,19 @@
       On.OnDone();
   }
 
-  void brokenBeforeHead(ErrorCode Error) {
-    const bool Repeatable = Message.method() == bhttp::verb::get;
+  // \p NothingLeft: the connection took no byte of the request.
+  void brokenBeforeHead(ErrorCode Error, bool NothingLeft) {
+    const bool Repeatable =
+        NothingLeft ||
+        (Options.repeatReads() && Message.method() == bhttp::verb::get);
     if (Reused && Repeatable && kindOf(Error) == CallError::Broken) {
       Reused = false;
+      ++Attempt;
       Buffer.clear();
       Stream.emplace(Idle->Io);
       return connect();
     }
-    fail(kindOf(Error), Error);
+    fail(NothingLeft ? CallError::NotSent : kindOf(Error), Error);
   }
 
   static CallError kindOf(ErrorCode Error) {
@@ -221,7 +300,10 @@
   std::optional<beast::tcp_stream> Stream;
   beast::flat_buffer Buffer;
   bhttp::request<bhttp::string_body> Message;
-  bhttp::response_parser<bhttp::string_body> Parser;
+  std::optional<bhttp::response_parser<bhttp::string_body>> Parser;
+  // Handlers of an earlier connection of this call are told apart by it.
+  unsigned Attempt = 0;
+  bool Written = false;
   bool Reused = false;
   bool Over = false;
 };
--- a/http/client.h
+++ b/http/client.h
@@ -43,9 +43,26 @@
     SilenceTimeout = D;
     return *this;
   }
+  Duration maxIdleAge() const { return MaxIdleAge; }
+  /// A kept connection that was idle for longer is not used again. A shorter
+  /// time that the peer announced goes before it.
+  CallOptions &setMaxIdleAge(Duration D) {
+    MaxIdleAge = D;
+    return *this;
+  }
+
+  bool repeatReads() const { return RepeatReads; }
+  /// Whether a GET on a kept connection that broke is repeated once on a fresh
+  /// one. Off for callers' requests: whether to repeat is decided elsewhere.
+  CallOptions &setRepeatReads(bool On) {
+    RepeatReads = On;
+    return *this;
+  }
 
 private:
   bool FreshConnection = false;
+  bool RepeatReads = true;
+  Duration MaxIdleAge = std::chrono::seconds(60);
   Duration ConnectTimeout = std::chrono::seconds(1);
   Duration SilenceTimeout = std::chrono::seconds(30);
 };
--- a/http/server.cc
+++ b/http/server.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
 namespace goldcrestlink::http {
@@ -25,6 +26,9 @@
 namespace {
 class Connection;
 
+// The first read of a request takes this much; a header is usually smaller.
+constexpr size_t FirstReadBytes = 4096;
+
 using ReusePort =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 } // namespace
@@ -68,12 +72,17 @@
     Parser->header_limit(
         static_cast<uint32_t>(Owner->Options.maxHeaderBytes()));
     Parser->body_limit(Owner->Options.maxBodyBytes());
-    Stream.expires_after(std::chrono::duration_cast<std::chrono::nanoseconds>(
-        Owner->Options.idleTimeout()));
-    bhttp::async_read(Stream, Buffer, *Parser,
-                      [Self = shared_from_this()](ErrorCode Error, size_t) {
-                        Self->onRead(Error);
-                      });
+    if (Buffer.size() > 0)
+      return readHeader();
+    expireAfter(Owner->Options.idleTimeout());
+    Stream.async_read_some(
+        Buffer.prepare(FirstReadBytes),
+        [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
+          if (Error)
+            return Self->close();
+          Self->Buffer.commit(Bytes);
+          Self->readHeader();
+        });
   }
 
   void closeIfIdle() {
@@ -126,6 +135,38 @@
   }
 
 private:
+  void expireAfter(Duration D) {
+    Stream.expires_after(std::chrono::nanoseconds(D));
+  }
+
+  void readHeader() {
+    expireAfter(Owner->Options.headerTimeout());
+    bhttp::async_read_header(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](ErrorCode Error, size_t) {
+          if (Error)
+            return Self->onRead(Error);
+          // Any other coding would leave the length of the body in doubt.
+          const auto Coding =
+              Self->Parser->get()[bhttp::field::transfer_encoding];
+          if (!Coding.empty() && !beast::iequals(Coding, "chunked"))
+            return Self->refuse(400, "bad_request");
+          if (Self->Parser->is_done())
+            return Self->onRead(Error);
+          Self->readBody();
+        });
+  }
+
+  void readBody() {
+    expireAfter(Owner->Options.bodyTimeout());
+    if (beast::iequals(Parser->get()[bhttp::field::expect], "100-continue"))
+      push("HTTP/1.1 100 Continue\r\n\r\n");
+    bhttp::async_read(Stream, Buffer, *Parser,
+                      [Self = shared_from_this()](ErrorCode Error, size_t) {
+                        Self->onRead(Error);
+                      });
+  }
+
   template <class Response>
   void fillHead(Response &R, unsigned Status, const Headers &Fields) {
     R.version(11);
@@ -133,7 +174,7 @@
     R.keep_alive(KeepAlive && !Owner->Closing);
     KeepAlive = R.keep_alive();
     for (const Header &H : Fields)
-      R.set(H.Name, H.Value);
+      R.insert(H.Name, H.Value);
   }
 
   template <class Response> std::string serialise(Response &R) {
@@ -339,6 +380,10 @@
   return Shared->Acceptor.local_endpoint().port();
 }
 
+void Server::setOptions(const ServerOptions &Options) {
+  Shared->Options = Options;
+}
+
 void Server::announceClose() { Shared->Closing = true; }
 
 void Server::stopAccepting() { Shared->stop(); }
--- a/http/server.h
+++ b/http/server.h
@@ -28,7 +28,14 @@
   size_t maxConnections() const { return MaxConnections; }
   size_t maxUnsentBytes() const { return MaxUnsentBytes; }
   Duration idleTimeout() const { return IdleTimeout; }
+  Duration headerTimeout() const { return HeaderTimeout; }
+  Duration bodyTimeout() const { return BodyTimeout; }
   bool sharePort() const { return SharePort; }
+  /// How long a caller may take to send a request's header.
+  ServerOptions &setHeaderTimeout(Duration D) {
+    HeaderTimeout = D;
+    return *this;
+  }
   ServerOptions &setMaxHeaderBytes(size_t N) {
     MaxHeaderBytes = N;
     return *this;
@@ -61,6 +68,8 @@
   size_t MaxConnections = 8192;
   size_t MaxUnsentBytes = 4 * 1024 * 1024;
   Duration IdleTimeout = std::chrono::seconds(75);
+  Duration HeaderTimeout = std::chrono::seconds(75);
+  Duration BodyTimeout = std::chrono::seconds(60);
   bool SharePort = false;
 };
 
@@ -95,6 +104,8 @@
   ~Server();
   /// The bound port, also when 0 was asked for.
   uint16_t port() const;
+  /// Limits for requests read from now on.
+  void setOptions(const ServerOptions &Options);
   /// Further answers ask callers to close their connection.
   void announceClose();
   /// Closes the listener and idle connections; requests in progress go on.
