Replace adapter versions without orders that block; gather watches

A request's own prompt size decided how many homes its adapter got, so single large prompts spread copies over the fleet.

Change: a side goes over to a version at a moment of its own within 1.8 s, unloads the old one once nothing uses it; stale reports are passed over; demand is counted in prompt tokens over 5 s.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -43,9 +43,8 @@
 
 } // namespace
 
-uint32_t adapterHash(std::string_view Model, std::string_view Adapter,
-                     uint64_t Version) {
-  return static_cast<uint32_t>(hash64(nameOf(Model, Adapter), Version));
+uint32_t adapterHash(std::string_view Model, std::string_view Adapter) {
+  return static_cast<uint32_t>(hash64(nameOf(Model, Adapter)));
 }
 
 void SideAdmission::onConfig(const Time &N, const EngineSpec &Engine) {
@@ -55,10 +54,15 @@
 }
 
 void SideAdmission::onRelease(const Time &N, const WeightRelease &R) {
-  uint64_t &Known = Released[nameOf(R.Model, R.Adapter)];
-  if (R.Version <= Known)
+  const std::string Name = nameOf(R.Model, R.Adapter);
+  Release &Known = Released[Name];
+  if (R.Version <= Known.Version)
     return;
-  Known = R.Version;
+  Known.Version = R.Version;
+  const auto Spread = static_cast<uint64_t>(Opts.releaseSpread().count());
+  Known.RequiredFrom =
+      N + Duration(static_cast<int64_t>(
+              hash64(Name, mixHash(Opts.spreadSeed(), R.Version)) % Spread));
   placeOrder(N);
 }
 
@@ -69,13 +73,12 @@
   return nullptr;
 }
 
-uint64_t SideAdmission::releasedVersion(const std::string &Name) const {
+uint64_t SideAdmission::requiredVersion(const Time &N,
+                                        const std::string &Name) const {
   const auto It = Released.find(Name);
-  return It == Released.end() ? 0 : It->second;
-}
-
-uint64_t SideAdmission::wantedVersion(const AdmissionAsk &A) const {
-  return std::max(A.Version, releasedVersion(nameOf(A.Model, A.Adapter)));
+  return It == Released.end() || N < It->second.RequiredFrom
+             ? 0
+             : It->second.Version;
 }
 
 const SideAdmission::AdapterState *
@@ -84,14 +87,19 @@
   return It == Adapters.end() || It->second.Incoming ? nullptr : &It->second;
 }
 
-bool SideAdmission::ready(const AdmissionAsk &A) const {
+bool SideAdmission::isOutdated(const Time &N, const std::string &Name) const {
+  const AdapterState *S = held(Name);
+  return S && S->Version < requiredVersion(N, Name);
+}
+
+bool SideAdmission::ready(const Time &N, const AdmissionAsk &A) const {
   const HeldModel *Base = baseModel(A.Model);
   if (!Reachable || !Base)
     return false;
+  const std::string Name = nameOf(A.Model, A.Adapter);
   if (A.Adapter.empty())
-    return Base->Version >= wantedVersion(A);
-  const AdapterState *S = held(nameOf(A.Model, A.Adapter));
-  return S && S->Version >= wantedVersion(A);
+    return Base->Version >= requiredVersion(N, Name);
+  return held(Name) && !isOutdated(N, Name);
 }
 
 bool SideAdmission::hasRoom(const AdmissionAsk &A) const {
@@ -114,23 +122,28 @@
   if (!baseModel(A.Model))
     Wait += Spec.Models.empty() ? std::chrono::seconds(1)
                                 : Spec.Models.front().LoadTime;
-  if (ready(A))
+  if (ready(N, A))
     return Wait;
   const auto Ahead = static_cast<int64_t>(Queue.size() / Opts.maxIncoming());
   return Wait + Opts.adapterLoadTime() * (1 + Ahead);
 }
 
 void SideAdmission::onAsk(const Time &N, AdmissionAsk A) {
+  if (A.Version > 0)
+    onRelease(N, {A.Model, A.Adapter, A.Version});
   if (A.Prefetch) {
-    if (!ready(A) && Prefetches.size() < Opts.maxWaiting())
+    if (!ready(N, A) && Prefetches.size() < Opts.maxWaiting())
       Prefetches.push_back({std::move(A), N, N + std::chrono::seconds(1)});
     return placeOrder(N);
   }
   if (!Reachable)
     return refuse(A, std::chrono::milliseconds(300), "engine_unreachable");
-  const bool Ready = ready(A);
+  const bool Ready = ready(N, A);
   if (Ready && hasRoom(A) && Queue.empty())
     return grant(N, A);
+  if (const std::string Name = nameOf(A.Model, A.Adapter);
+      isOutdated(N, Name) && held(Name)->Pins > 0)
+    return refuse(A, Opts.replaceTime(), "replacing");
   const Duration Wait = expectedWait(N, A);
   if (Wait > A.Patience || Queue.size() >= Opts.maxWaiting())
     return refuse(A, Wait, Ready ? "engine_full" : "load_too_late");
@@ -212,6 +225,11 @@
 
 void SideAdmission::onReport(const Time &N, const EngineReport &R) {
   const bool Restarted = Reachable && R.StartedMs != Report.StartedMs;
+  // Overtaken by the answer to a later order.
+  if (Reachable && !Restarted && R.OrderCount < Report.OrderCount) {
+    ReportedAt = N;
+    return;
+  }
   if (Restarted || !Reachable) {
     Port.log("engine state=up started_ms=" + std::to_string(R.StartedMs) +
              " orders=" + std::to_string(R.OrderCount) +
@@ -232,6 +250,9 @@
   const auto Note = [&](const std::string &Model, const HeldAdapter &A,
                         bool Incoming) {
     const std::string Name = nameOf(Model, A.Name);
+    if (Open && !OpenAnswered && Open->Kind == OrderKind::Unload &&
+        Name == nameOf(Open->Model, Open->Adapter))
+      return; // May be gone at any moment.
     AdapterState S;
     if (const auto It = Adapters.find(Name); It != Adapters.end())
       S = It->second;
@@ -286,7 +307,7 @@
 
 void SideAdmission::serveQueue(const Time &N) {
   for (auto It = Queue.begin(); It != Queue.end();) {
-    if (!ready(It->Ask)) {
+    if (!ready(N, It->Ask)) {
       ++It;
       continue;
     }
@@ -315,7 +336,7 @@
   for (const Key &Id : Lost)
     onEnd(N, Id.first, Id.second, Duration(0));
   Prefetches.remove_if(
-      [&](const Waiting &W) { return N >= W.Until || ready(W.Ask); });
+      [&](const Waiting &W) { return N >= W.Until || ready(N, W.Ask); });
 }
 
 void SideAdmission::onTimer(const Time &N) {
@@ -364,18 +385,27 @@
   }
   if (orderBaseModel(N))
     return;
+  if (dropOutdated(N))
+    return;
   for (const AdmissionAsk *A : wants()) {
-    if (A->Adapter.empty() || !baseModel(A->Model) || ready(*A))
+    const std::string Name = nameOf(A->Model, A->Adapter);
+    if (A->Adapter.empty() || !baseModel(A->Model) || held(Name))
       continue;
-    if (orderAdapter(N, A->Model, A->Adapter, wantedVersion(*A)))
+    if (orderAdapter(N, A->Model, A->Adapter))
       return;
   }
-  // Versions that were announced for adapters held here.
-  for (const HeldModel &M : Report.Models)
-    for (const HeldAdapter &A : M.Adapters)
-      if (const uint64_t Want = releasedVersion(nameOf(M.Name, A.Name));
-          A.Version < Want && orderAdapter(N, M.Name, A.Name, Want))
-        return;
+}
+
+// An adapter in use is never replaced by an order: the engine would refuse all
+// other orders until its runs have ended. It is unloaded once nothing uses it,
+// and loaded again, in its newest version, by the next request.
+bool SideAdmission::dropOutdated(const Time &N) {
+  for (const auto &[Name, S] : Adapters)
+    if (!S.Incoming && S.Pins == 0 && isOutdated(N, Name)) {
+      evict(N, std::string(Name), "outdated");
+      return true;
+    }
+  return false;
 }
 
 bool SideAdmission::orderBaseModel(const Time &N) {
@@ -383,7 +413,7 @@
     return false;
   const ModelSpec &M = Spec.Models.front();
   const HeldModel *Base = baseModel(M.Name);
-  if (Base && Base->Version >= releasedVersion(nameOf(M.Name, "")))
+  if (Base && Base->Version >= requiredVersion(N, nameOf(M.Name, "")))
     return false;
   if (N < NextBaseLoad)
     return false;
@@ -393,7 +423,7 @@
 }
 
 bool SideAdmission::orderAdapter(const Time &N, const std::string &Model,
-                                 const std::string &Adapter, uint64_t Version) {
+                                 const std::string &Adapter) {
   const std::string Name = nameOf(Model, Adapter);
   if (const auto It = Adapters.find(Name);
       It != Adapters.end() && It->second.Incoming)
@@ -405,7 +435,7 @@
     return false;
   if (slotsUsed() >= Spec.AdapterSlots)
     return evictOne(N, Name);
-  Port.log("load adapter=" + Name + " version=" + std::to_string(Version) +
+  Port.log("load adapter=" + Name +
            " slots_used=" + std::to_string(slotsUsed()) +
            " incoming=" + std::to_string(incoming()));
   ++LoadsOrdered;
@@ -426,15 +456,21 @@
   }
   if (!Victim)
     return false;
-  const std::string Name = *Victim;
+  evict(N, std::string(*Victim), For);
+  return true;
+}
+
+void SideAdmission::evict(const Time &N, const std::string &Name,
+                          std::string_view Why) {
   const size_t Slash = Name.find('/');
-  Port.log("evict adapter=" + Name + " for=" + For +
-           " idle_ms=" + std::to_string((N - Oldest).count() / 1000));
+  const AdapterState &S = Adapters.at(Name);
+  Port.log("evict adapter=" + Name + " version=" + std::to_string(S.Version) +
+           " for=" + std::string(Why) +
+           " idle_ms=" + std::to_string((N - S.LastUsed).count() / 1000));
   ++Evictions;
   // Not granted any more from now on.
   Adapters.erase(Name);
   give(N, OrderKind::Unload, Name.substr(0, Slash), Name.substr(Slash + 1));
-  return true;
 }
 
 void SideAdmission::give(const Time &N, OrderKind Kind,
@@ -487,14 +523,20 @@
             return A.Name == Done.Adapter;
           });
     }
-    Open.reset();
-    if (Outcome == OrderOutcome::Holds && Done.Kind == OrderKind::Load)
+    if (Outcome == OrderOutcome::Holds && Done.Kind == OrderKind::Load) {
+      // The report in hand is older than the engine's state.
+      OpenAnswered = true;
       ReportedAt = Time{};
+      return;
+    }
+    Open.reset();
     return placeOrder(N);
   }
   Port.log(
       "order outcome=" +
       std::string(Outcome == OrderOutcome::Conflict ? "conflict" : "refused") +
+      " kind=" + (Done.Kind == OrderKind::Load ? "load" : "unload") +
+      " expected=" + std::to_string(Done.ExpectedCount) +
       " model=" + Done.Model + " adapter=" + Done.Adapter);
   // A fresh report tells the count; until then no further order.
   OpenAnswered = true;
@@ -511,11 +553,11 @@
   Out.MemoryFree =
       Spec.MemoryTokens - std::min(Spec.MemoryTokens, TokensGranted);
   for (const auto &[Name, S] : Adapters) {
-    if (S.Incoming)
+    if (S.Incoming || isOutdated(N, Name))
       continue;
     const size_t Slash = Name.find('/');
     Out.Held.push_back(
-        adapterHash(Name.substr(0, Slash), Name.substr(Slash + 1), S.Version));
+        adapterHash(Name.substr(0, Slash), Name.substr(Slash + 1)));
   }
   return Out;
 }
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -70,15 +70,14 @@
   double PrefillRate = 20;
   uint32_t Running = 0;
   uint64_t MemoryFree = 0;
-  /// Held adapters, by adapterHash().
+  /// Adapters that requests can use at once, by adapterHash().
   std::vector<uint32_t> Held;
 
   bool operator==(const EngineLoad &) const = default;
 };
 
-/// Short hash of an adapter and version for load messages. Thread-safe.
-uint32_t adapterHash(std::string_view Model, std::string_view Adapter,
-                     uint64_t Version);
+/// Short hash of an adapter for load messages. Thread-safe.
+uint32_t adapterHash(std::string_view Model, std::string_view Adapter);
 
 /// What a SideAdmission asks its shell to do.
 class SidePort {
@@ -100,6 +99,15 @@
     Duration orderTimeout() const { return OrderTimeout; }
     Duration baseLoadPause() const { return BaseLoadPause; }
     double memoryShare() const { return MemoryShare; }
+    Duration releaseSpread() const { return ReleaseSpread; }
+    Duration replaceTime() const { return ReplaceTime; }
+    uint64_t spreadSeed() const { return SpreadSeed; }
+    /// Differs between sides, so that they do not replace an adapter at the
+    /// same moment.
+    Options &setSpreadSeed(uint64_t Seed) {
+      SpreadSeed = Seed;
+      return *this;
+    }
 
   private:
     size_t MaxWaiting = 512;
@@ -116,6 +124,13 @@
     // Share of the engine's memory that granted requests may be expected to
     // need; beyond it the engine would preempt.
     double MemoryShare = 0.92;
+    // A side goes over to an announced version at a moment of its own within
+    // this time, while others still serve. The platform's bound is 5 s, and
+    // what runs on the old version may last more than a second.
+    Duration ReleaseSpread = std::chrono::milliseconds(1800);
+    // Until the runs on an old version have ended and the new one is loaded.
+    Duration ReplaceTime = std::chrono::milliseconds(1200);
+    uint64_t SpreadSeed = 0;
   };
 
   SideAdmission(Options O, SidePort &Port) : Opts(O), Port(Port) {}
@@ -168,6 +183,12 @@
     Time Until;
   };
 
+  struct Release {
+    uint64_t Version = 0;
+    // No request is granted on an older version from then on.
+    Time RequiredFrom{};
+  };
+
   struct AdapterState {
     uint64_t Version = 0;
     bool Incoming = false;
@@ -177,10 +198,10 @@
   };
 
   const HeldModel *baseModel(std::string_view Model) const;
-  uint64_t wantedVersion(const AdmissionAsk &A) const;
-  uint64_t releasedVersion(const std::string &Name) const;
+  uint64_t requiredVersion(const Time &N, const std::string &Name) const;
   const AdapterState *held(const std::string &Name) const;
-  bool ready(const AdmissionAsk &A) const;
+  bool ready(const Time &N, const AdmissionAsk &A) const;
+  bool isOutdated(const Time &N, const std::string &Name) const;
   bool hasRoom(const AdmissionAsk &A) const;
   void grant(const Time &N, const AdmissionAsk &A);
   void refuse(const AdmissionAsk &A, Duration Again, std::string_view Reason);
@@ -191,8 +212,10 @@
   void placeOrder(const Time &N);
   bool orderBaseModel(const Time &N);
   bool orderAdapter(const Time &N, const std::string &Model,
-                    const std::string &Adapter, uint64_t Version);
-  bool evictOne(const Time &N, const std::string &Model);
+                    const std::string &Adapter);
+  bool evictOne(const Time &N, const std::string &For);
+  void evict(const Time &N, const std::string &Name, std::string_view Why);
+  bool dropOutdated(const Time &N);
   void give(const Time &N, OrderKind Kind, const std::string &Model,
             const std::string &Adapter);
   uint32_t slotsUsed() const;
@@ -204,7 +227,7 @@
   SidePort &Port;
   EngineSpec Spec;
   bool HasSpec = false;
-  std::map<std::string, uint64_t> Released;
+  std::map<std::string, Release> Released;
   EngineReport Report;
   bool Reachable = false;
   Time ReportedAt{};
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -12,6 +12,7 @@
 #include <zmq.hpp>
 
 #include "admission/side_admission.h"
+#include "base/hash.h"
 #include "base/random.h"
 #include "daemon/admission_codec.h"
 #include "daemon/process_control.h"
@@ -55,7 +56,9 @@
             freshSeed(), [this] { publish(); },
             [this](std::string Line) { Control.log(std::move(Line)); }),
         StopTimer(ControlIo), Engine(Io), Tick(Io),
-        Admission(SideAdmission::Options(), *this),
+        Admission(
+            SideAdmission::Options().setSpreadSeed(hash64(S.InstanceName)),
+            *this),
         Entries(Io, Context,
                 S.Fleet.Address + ":" + std::to_string(S.Fleet.LinkPort),
                 [this](const std::string &Peer, wire::Envelope &Message) {
--- a/daemon/store_follower.cc
+++ b/daemon/store_follower.cc
@@ -11,6 +11,11 @@
 namespace {
 // Checks for upstreams whose grace after an outage is over.
 constexpr Duration AbsenceCheck = std::chrono::milliseconds(200);
+// Upstreams write every second or so, mostly what is of no interest here; a
+// leaving one must be known well within the platform's two seconds.
+constexpr Duration UpstreamGather = std::chrono::milliseconds(500);
+// Configurations come in quick succession at times.
+constexpr Duration ChangeGather = std::chrono::milliseconds(150);
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &InIo,
@@ -32,7 +37,8 @@
                     onConfigObject(O);
                 },
                 [this](const StoreObject &O) { onConfigObject(O); },
-                {}});
+                {},
+                ChangeGather});
   if (Opts.upstreams())
     Store.follow(
         platform::kinds::Upstreams,
@@ -47,7 +53,8 @@
                     onRelease(O);
                 },
                 [this](const StoreObject &O) { onRelease(O); },
-                {}});
+                {},
+                ChangeGather});
 }
 
 void StoreFollower::onConfigObject(const platform::StoreObject &O) {
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -14,7 +14,9 @@
 
 namespace {
 // Time constants over which demand and failures are averaged.
-constexpr double DemandSeconds = 2.0;
+constexpr double DemandSeconds = 5.0;
+// One large prompt is no sign of lasting demand.
+constexpr uint32_t MaxDemandTokens = 1500;
 constexpr double FailureSeconds = 3.0;
 // Weight of one outcome in the share of failures.
 constexpr double OutcomeWeight = 0.2;
@@ -47,15 +49,16 @@
   if (Demands.size() >= Opts.maxAdapters())
     return;
   Demand &D = Demands[nameOf(Want)];
-  D.Rate = D.Rate * decay(N - D.At, DemandSeconds) + 1 / DemandSeconds;
+  D.TokenRate = D.TokenRate * decay(N - D.At, DemandSeconds) +
+                std::min(Want.PromptTokens, MaxDemandTokens) / DemandSeconds;
   D.At = N;
 }
 
-double EngineBoard::rate(Time N, const std::string &Name) const {
+double EngineBoard::tokenRate(Time N, const std::string &Name) const {
   const auto It = Demands.find(Name);
   return It == Demands.end()
              ? 0
-             : It->second.Rate * decay(N - It->second.At, DemandSeconds);
+             : It->second.TokenRate * decay(N - It->second.At, DemandSeconds);
 }
 
 void EngineBoard::onSent(Time N, const std::string &Id, uint32_t PromptTokens) {
@@ -117,16 +120,16 @@
 size_t EngineBoard::homes(Time N, const EngineWant &Want) const {
   if (Want.Adapter.empty())
     return 0;
-  const double FleetRate = rate(N, nameOf(Want)) * static_cast<double>(Entries);
-  const double Busy =
-      FleetRate * Want.PromptTokens / (DefaultPrefillRate * 1000.0);
+  const double Busy = tokenRate(N, nameOf(Want)) *
+                      static_cast<double>(Entries) /
+                      (DefaultPrefillRate * 1000.0);
   return 1 + static_cast<size_t>(Busy / Opts.homeUtilisation());
 }
 
 std::vector<EngineCandidate>
 EngineBoard::rank(Time N, const EngineWant &Want,
                   std::span<const UpstreamRecord *const> Among) const {
-  const uint32_t Wanted = adapterHash(Want.Model, Want.Adapter, Want.Version);
+  const uint32_t Wanted = adapterHash(Want.Model, Want.Adapter);
   const uint64_t Key = hash64(nameOf(Want));
   std::vector<std::pair<uint64_t, const UpstreamRecord *>> Order;
   for (const UpstreamRecord *U : Among)
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -79,7 +79,7 @@
     Duration FailureCost = std::chrono::seconds(2);
     // Share of an engine's prompt reading that one adapter may take before it
     // gets a further home.
-    double HomeUtilisation = 0.25;
+    double HomeUtilisation = 0.35;
     // A side or engine that did not answer is left alone this long.
     Duration SilencePause = std::chrono::milliseconds(700);
   };
@@ -134,12 +134,13 @@
     bool Replaced = false;
   };
   struct Demand {
-    double Rate = 0;
+    // Prompt tokens per second at this entry.
+    double TokenRate = 0;
     Time At{};
   };
 
   double failureShare(Time N, const View &V) const;
-  double rate(Time N, const std::string &Name) const;
+  double tokenRate(Time N, const std::string &Name) const;
 
   Options Opts;
   size_t Entries = 4;
