--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -19,10 +19,13 @@
 }
 } // namespace
 
-bool Catalog::applyConfig(std::shared_ptr<const DeploymentConfig> NewConfig) {
+bool Catalog::applyConfig(std::shared_ptr<const DeploymentConfig> NewConfig,
+                          std::string Text) {
   if (Config && NewConfig->Version <= Config->Version)
     return false;
   Config = std::move(NewConfig);
+  ConfigText = std::make_shared<const std::string>(std::move(Text));
+  Newest.Config = Config->Version;
   ByHost.clear();
   for (const RouteSpec &R : Config->Routes)
     ByHost[R.Host].push_back(&R);
@@ -45,26 +48,38 @@
       Missing.push_back(Id);
   for (const std::string &Id : Missing)
     applyUpstream(N, Revision, Id, nullptr);
-  UpstreamRevision = std::max(UpstreamRevision, Revision);
 }
 
-void Catalog::applyUpstream(Time N, uint64_t Revision, const std::string &Id,
+bool Catalog::applyUpstream(Time N, uint64_t Revision, const std::string &Id,
                             const UpstreamRecord *Record) {
-  uint64_t &Seen = Revisions[Id];
-  if (Revision < Seen)
-    return;
-  Seen = Revision;
-  UpstreamRevision = std::max(UpstreamRevision, Revision);
+  struct Revision &Known = Revisions[Id];
+  if (Revision < Known.Seen)
+    return false;
+  Known.Seen = Revision;
+  const auto Old = Upstreams.find(Id);
+  const bool Same = Record ? Old != Upstreams.end() && Old->second == *Record &&
+                                 !Absent.contains(Id)
+                           : Old == Upstreams.end() && Known.Changed > 0;
+  if (Same)
+    return false;
+  Known.Changed = Revision;
+  Newest.Upstreams = std::max(Newest.Upstreams, Revision);
   if (Record) {
     Absent.erase(Id);
     Upstreams[Id] = *Record;
   } else {
     remove(N, Id);
   }
-  if (Revisions.size() > MaxRevisions)
-    std::erase_if(Revisions, [&](const auto &Item) {
-      return !Upstreams.contains(Item.first);
-    });
+  trimRevisions();
+  return true;
+}
+
+void Catalog::trimRevisions() {
+  if (Revisions.size() <= MaxRevisions)
+    return;
+  std::erase_if(Revisions, [&](const auto &Item) {
+    return !Upstreams.contains(Item.first);
+  });
 }
 
 void Catalog::remove(Time N, const std::string &Id) {
@@ -79,9 +94,43 @@
   if (R.Version <= Known.Version)
     return false;
   Known = R;
+  Newest.Releases = std::max(Newest.Releases, R.Revision);
   return true;
 }
 
+bool Catalog::applyBeliefs(Time N, const BeliefUpdate &U) {
+  bool Changed = false;
+  for (const UpstreamChange &C : U.Upstreams)
+    Changed |=
+        applyUpstream(N, C.Revision, C.Id, C.Record ? &*C.Record : nullptr);
+  for (const WeightRelease &R : U.Releases)
+    Changed |= applyRelease(R);
+  // All that the other process knew up to these is known here now.
+  Newest.Upstreams = std::max(Newest.Upstreams, U.AsOf.Upstreams);
+  Newest.Releases = std::max(Newest.Releases, U.AsOf.Releases);
+  return Changed;
+}
+
+BeliefUpdate Catalog::since(const BeliefRevisions &Known) const {
+  BeliefUpdate Out;
+  Out.AsOf = Newest;
+  if (ConfigText && Newest.Config > Known.Config)
+    Out.ConfigText = *ConfigText;
+  for (const auto &[Id, R] : Revisions) {
+    if (R.Changed <= Known.Upstreams)
+      continue;
+    UpstreamChange Change{Id, R.Changed, std::nullopt};
+    if (const auto It = Upstreams.find(Id);
+        It != Upstreams.end() && !Absent.contains(Id))
+      Change.Record = It->second;
+    Out.Upstreams.push_back(std::move(Change));
+  }
+  for (const auto &[Key, R] : Releases)
+    if (R.Revision > Known.Releases)
+      Out.Releases.push_back(R);
+  return Out;
+}
+
 void Catalog::onStoreRegained(Time N) { GraceUntil = N + Opts.absenceGrace(); }
 
 bool Catalog::onTimer(Time N) {
--- a/catalog/types.h
+++ b/catalog/types.h
@@ -116,6 +116,8 @@
   std::string Model;
   std::string Adapter;
   uint64_t Version = 0;
+  /// Store revision of the announcement; 0 if it did not come from there.
+  uint64_t Revision = 0;
 };
 
 } // namespace goldcrestlink
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -77,7 +77,7 @@
   F.integer("link_port", S.LinkPort, 1, 65535, Need::Required);
   F.integer("metrics_port", S.MetricsPort, 0, 65535);
   F.endpoint("ready_listen", S.ReadyListen);
-  F.words("peers", S.PeerAddresses);
+  readEndpoints(F, "peers", S.Peers, Need::Optional);
   F.endpoint("engine", S.Engine);
   F.text("service", S.Service);
 }
--- a/config/settings.h
+++ b/config/settings.h
@@ -21,8 +21,9 @@
   http::Endpoint Store{"", 0};
   /// Entry: where the platform asks whether it is ready.
   http::Endpoint ReadyListen{"127.0.0.1", 8081};
-  /// Entries that may know the configuration when the store does not answer.
-  std::vector<std::string> PeerAddresses;
+  /// Entries that may know the configuration when the store does not answer;
+  /// only their IP addresses count.
+  std::vector<http::Endpoint> Peers;
   /// Own IP address, and the port on which every side listens for entries.
   std::string Address;
   int64_t LinkPort = 7000;
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -71,7 +71,8 @@
   return E;
 }
 
-wire::Envelope encodeLoad(const EngineLoad &L, size_t Entries) {
+wire::Envelope encodeLoad(const EngineLoad &L, std::string_view UpstreamId,
+                          size_t Entries) {
   wire::Envelope E;
   wire::EngineLoad &M = *E.mutable_engine_load();
   M.set_serving(L.Serving);
@@ -81,6 +82,7 @@
   M.set_memory_free(L.MemoryFree);
   for (const uint32_t Hash : L.Held)
     M.add_held(Hash);
+  M.set_upstream(std::string(UpstreamId));
   M.set_entries(static_cast<uint32_t>(Entries));
   return E;
 }
--- a/daemon/admission_codec.h
+++ b/daemon/admission_codec.h
@@ -16,8 +16,10 @@
 wire::Envelope encodeReply(uint64_t AskId, const AdmissionReply &R);
 AdmissionReply decodeReply(const wire::AdmissionReply &M);
 wire::Envelope encodeEnd(uint64_t AskId, Duration FirstToken);
-/// \p Entries is the number of entries that the side has heard of lately.
-wire::Envelope encodeLoad(const EngineLoad &L, size_t Entries);
+/// \p UpstreamId is the engine's incarnation, \p Entries the number of entries
+/// that the side has heard of lately.
+wire::Envelope encodeLoad(const EngineLoad &L, std::string_view UpstreamId,
+                          size_t Entries);
 EngineLoad decodeLoad(const wire::EngineLoad &M);
 
 } // namespace goldcrestlink
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -4,6 +4,8 @@
 #include "daemon/entry_traffic.h"
 
 #include <atomic>
+#include <map>
+#include <set>
 #include <unordered_map>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +14,7 @@
 #include <zmq.hpp>
 
 #include "daemon/admission_codec.h"
+#include "daemon/belief_codec.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/side_link.h"
 #include "forward/forwarder.h"
@@ -36,7 +39,11 @@
 // Silence of an upstream ends a call only with the call's own deadline.
 constexpr Duration SilenceTimeout = std::chrono::minutes(10);
 
-// An upstream's connection use: which address its last connection went to.
+// Digests go to every side in this interval, and at once after a change.
+constexpr Duration DigestInterval = std::chrono::seconds(1);
+// What is lacking is asked for at most this often.
+constexpr Duration RequestPause = std::chrono::milliseconds(150);
+
 struct OpenCall {
   std::shared_ptr<http::Responder> Answer;
 };
@@ -60,6 +67,11 @@
                     onReadiness(R, *A);
                   }),
         Upstreams(Io), Tick(Io),
+        Peers(Io, Context,
+              S.Fleet.Address + ":" + std::to_string(S.Fleet.LinkPort),
+              [this](const std::string &Peer, wire::Envelope &Message) {
+                onPeerMessage(Peer, Message);
+              }),
         Decisions(forward::Forwarder::Options()
                       .setDataCentre(S.DataCenter)
                       .setAllowance(forward::RetryAllowance::Options()
@@ -233,15 +245,99 @@
     return L;
   }
 
+  // A peer that has nothing to go by asks for all; others are sides.
+  void onPeerMessage(const std::string &Peer, wire::Envelope &Message) {
+    if (!Message.has_belief_request() || !Known)
+      return;
+    wire::Envelope E =
+        encodeBeliefs(Known->since(decodeRevisions(Message.belief_request())));
+    if (!Peers.send(Peer, E))
+      Sinks.Log("beliefs outcome=peer_gone");
+  }
+
+  bool onBeliefMessage(SideLink &From, wire::Envelope &Message) {
+    if (Message.has_digest()) {
+      const BeliefRevisions Own = ownRevisions();
+      const Time N = now();
+      if (Own.lacks(decodeRevisions(Message.digest())) && N >= NextRequest) {
+        NextRequest = N + RequestPause;
+        wire::Envelope E = encodeBeliefRequest(Own);
+        From.sendSoon(E);
+      }
+      return true;
+    }
+    if (Message.has_belief_request()) {
+      if (!Known)
+        return true;
+      wire::Envelope E = encodeBeliefs(
+          Known->since(decodeRevisions(Message.belief_request())));
+      From.sendSoon(E);
+      return true;
+    }
+    if (Message.has_beliefs()) {
+      Sinks.Beliefs(decodeBeliefs(Message.beliefs()));
+      return true;
+    }
+    return false;
+  }
+
+  BeliefRevisions ownRevisions() const {
+    return Known ? Known->revisions() : BeliefRevisions();
+  }
+
+  void sendDigests() {
+    const wire::Envelope Digest = encodeDigest(ownRevisions());
+    for (auto &[Address, L] : Links) {
+      wire::Envelope E = Digest;
+      L.Socket->sendSoon(E);
+    }
+  }
+
+  // Until a configuration is known, other entries are asked as well as the
+  // store, which may not answer.
+  void askPeers() {
+    for (const http::Endpoint &Peer : S.Fleet.Peers) {
+      if (Peer.Address == S.Fleet.Address)
+        continue;
+      const std::string Address =
+          Peer.Address + ":" + std::to_string(S.Fleet.LinkPort);
+      auto &Link = PeerLinks[Address];
+      if (!Link)
+        Link = std::make_unique<SideLink>(
+            Io, Context, Address, "", [this, Address](wire::Envelope &Message) {
+              onBeliefMessage(*PeerLinks[Address], Message);
+            });
+      wire::Envelope E = encodeBeliefRequest(BeliefRevisions());
+      Link->sendSoon(E);
+      Link->flush();
+    }
+  }
+
+  void exchangeBeliefs(Time N) {
+    if (N < NextDigest)
+      return;
+    NextDigest = N + DigestInterval;
+    sendDigests();
+    if (!Decisions.hasConfig())
+      askPeers();
+    else
+      PeerLinks.clear();
+  }
+
   void onSideMessage(const std::string &Address, wire::Envelope &Message) {
-    const std::string Id = Links[Address].UpstreamId;
+    Link &From = Links[Address];
+    const std::string Id = From.UpstreamId;
     const Time N = now();
+    if (onBeliefMessage(*From.Socket, Message))
+      return;
     if (Message.has_admission_reply()) {
       const wire::AdmissionReply &R = Message.admission_reply();
       return Decisions.onAdmission(N, Id, R.id(), decodeReply(R));
     }
     if (Message.has_engine_load()) {
-      Decisions.onLoad(N, Id, decodeLoad(Message.engine_load()));
+      const std::string &Named = Message.engine_load().upstream();
+      Decisions.onLoad(N, Named.empty() ? Id : Named,
+                       decodeLoad(Message.engine_load()));
       if (Message.engine_load().entries() > 0)
         Decisions.onEntries(Message.engine_load().entries());
     }
@@ -259,6 +355,7 @@
   void tick() {
     const Time N = now();
     Decisions.onTimer(N);
+    exchangeBeliefs(N);
     for (auto &[Address, L] : Links)
       L.Socket->flush();
     Tick.expires_after(TickInterval);
@@ -271,14 +368,21 @@
   void publish(std::shared_ptr<const Catalog> C) {
     if (const DeploymentConfig *Config = C->config())
       Callers.setOptions(serverOptions(Config->Limits));
+    Known = C;
     std::set<std::string> Addresses;
-    for (const auto &[Id, U] : C->upstreams())
+    for (const auto &[Id, U] : C->upstreams()) {
+      const ServiceSpec *Spec = C->service(U.Service);
+      if (!Spec || !Spec->IsEngine)
+        continue;
+      linkTo(U);
       Addresses.insert(U.Address.Address + ":" +
                        std::to_string(S.Fleet.LinkPort));
+    }
     std::erase_if(Links, [&](const auto &Item) {
       return !Addresses.contains(Item.first);
     });
     Decisions.onCatalog(now(), std::move(C));
+    sendDigests();
   }
 
   Settings S;
@@ -290,7 +394,12 @@
   http::Client Upstreams;
   boost::asio::steady_timer Tick;
   ForwardMetrics Metrics;
+  wire::RouterSocket Peers;
+  std::shared_ptr<const Catalog> Known;
   std::unordered_map<std::string, Link> Links;
+  std::map<std::string, std::unique_ptr<SideLink>> PeerLinks;
+  Time NextDigest{};
+  Time NextRequest{};
   std::unordered_map<uint64_t, OpenCall> Open;
   std::unordered_map<uint64_t, OpenSend> Sends;
   std::atomic<size_t> InProgress{0};
--- a/daemon/entry_traffic.h
+++ b/daemon/entry_traffic.h
@@ -21,6 +21,8 @@
 /// time and must not block.
 struct TrafficSinks {
   std::function<void(std::string)> Log;
+  /// What another process knows of the deployment that this one lacks.
+  std::function<void(BeliefUpdate)> Beliefs;
 };
 
 /// Construct and run() on any threads; the other methods are thread-safe.
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -5,6 +5,7 @@
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "base/random.h"
@@ -39,10 +40,13 @@
                    });
                  }}),
         Traffic(S, Seed,
-                {[this](std::string Line) { Control.log(std::move(Line)); }}),
+                {[this](std::string Line) { Control.log(std::move(Line)); },
+                 [this](BeliefUpdate U) {
+                   boost::asio::post(
+                       Io, [this, U = std::move(U)] { Follower.onBeliefs(U); });
+                 }}),
         Follower(
-            Io, S.Fleet.Store, StoreFollower::Options(), Seed + 1,
-            [this] { publish(); },
+            Io, S.Fleet.Store, Seed + 1, [this] { publish(); },
             [this](std::string Line) { Control.log(std::move(Line)); }),
         StopTimer(Io) {}
 
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -1,6 +1,8 @@
-// One control thread follows the store for configuration and releases; the
-// traffic thread talks to entries and to the engine. The engine is asked for
-// its report when a decision waits for it, and at a slow pace otherwise.
+// The control thread has signals, log and metrics; the traffic thread talks to
+// entries and to the engine. What a side knows of the deployment it learns from
+// entries, so that the number of sides costs the platform's store nothing, and
+// it passes that on to entries that know less. The engine is asked for its
+// report when a decision waits for it, and at a slow pace otherwise.
 #include "daemon/fleet_side.h"
 
 #include <map>
@@ -14,9 +16,10 @@
 #include "admission/side_admission.h"
 #include "base/hash.h"
 #include "base/random.h"
+#include "catalog/catalog.h"
 #include "daemon/admission_codec.h"
+#include "daemon/belief_codec.h"
 #include "daemon/process_control.h"
-#include "daemon/store_follower.h"
 #include "http/client.h"
 #include "platform/engine_control.h"
 #include "platform/store_records.h"
@@ -38,6 +41,8 @@
 constexpr Duration HeldInterval = std::chrono::milliseconds(40);
 // An entry that has not asked for this long is forgotten.
 constexpr Duration EntryMemory = std::chrono::seconds(6);
+// What is lacking is asked for at most this often.
+constexpr Duration RequestPause = std::chrono::milliseconds(100);
 constexpr Duration StopTime = std::chrono::milliseconds(300);
 
 class FleetSide : SidePort {
@@ -50,11 +55,6 @@
                  [this](std::function<void(std::string)> Done) {
                    boost::asio::post(Io, [this, Done] { Done(metrics()); });
                  }}),
-        Follower(
-            ControlIo, S.Fleet.Store,
-            StoreFollower::Options().setUpstreams(false).setStaleLists(true),
-            freshSeed(), [this] { publish(); },
-            [this](std::string Line) { Control.log(std::move(Line)); }),
         StopTimer(ControlIo), Engine(Io), Tick(Io),
         Admission(
             SideAdmission::Options().setSpreadSeed(hash64(S.InstanceName)),
@@ -66,7 +66,6 @@
                 }) {}
 
   int run() {
-    Follower.start();
     tick();
     std::thread Thread([this] { Io.run(); });
     ControlIo.run();
@@ -82,24 +81,6 @@
 
   // Control thread.
 
-  void publish() {
-    const Catalog &C = Follower.catalog();
-    const ServiceSpec *Spec = C.service(S.Fleet.Service);
-    std::vector<WeightRelease> Releases;
-    for (const auto &[Key, R] : C.releases())
-      Releases.push_back(R);
-    const std::string HealthPath = Spec ? Spec->HealthPath : "";
-    const EngineSpec Given = Spec ? Spec->Engine : EngineSpec();
-    boost::asio::post(Io, [this, HealthPath, Given, Releases] {
-      if (!HealthPath.empty()) {
-        Health = HealthPath;
-        Admission.onConfig(now(), Given);
-      }
-      for (const WeightRelease &R : Releases)
-        Admission.onRelease(now(), R);
-    });
-  }
-
   void beginStop() {
     // The engine goes on serving; entries send to it directly.
     StopTimer.expires_after(StopTime);
@@ -111,18 +92,89 @@
 
   void onEntryMessage(const std::string &Peer, wire::Envelope &Message) {
     const Time N = now();
-    const auto [Known, New] = LastHeard.insert_or_assign(Peer, N);
+    const bool New = LastHeard.insert_or_assign(Peer, N).second;
     if (Message.has_admission_ask())
       Admission.onAsk(N, decodeAsk(Message.admission_ask(), Peer));
     else if (Message.has_admission_end())
       Admission.onEnd(N, Peer, Message.admission_end().id(),
                       Duration(static_cast<int64_t>(
                           Message.admission_end().first_token_us())));
+    else
+      onBeliefMessage(N, Peer, Message);
     if (New)
-      sendLoad(N, Known->first, Admission.load(N));
+      sendLoad(Peer, Admission.load(N));
     askReport(N);
   }
 
+  // Traffic thread: what is known of the deployment.
+
+  void onBeliefMessage(Time N, const std::string &Peer,
+                       wire::Envelope &Message) {
+    if (Message.has_digest()) {
+      const BeliefRevisions Theirs = decodeRevisions(Message.digest());
+      const BeliefRevisions &Own = Believed.revisions();
+      if (Own.lacks(Theirs) && N >= NextRequest) {
+        NextRequest = N + RequestPause;
+        wire::Envelope E = encodeBeliefRequest(Own);
+        tell(Peer, E);
+      }
+      if (Theirs.lacks(Own)) {
+        wire::Envelope E = encodeDigest(Own);
+        tell(Peer, E);
+      }
+    } else if (Message.has_belief_request()) {
+      wire::Envelope E = encodeBeliefs(
+          Believed.since(decodeRevisions(Message.belief_request())));
+      tell(Peer, E);
+    } else if (Message.has_beliefs()) {
+      onBeliefs(N, Peer, decodeBeliefs(Message.beliefs()));
+    }
+  }
+
+  void onBeliefs(Time N, const std::string &From, const BeliefUpdate &U) {
+    const BeliefRevisions Before = Believed.revisions();
+    Believed.applyBeliefs(N, U);
+    for (const WeightRelease &R : U.Releases)
+      Admission.onRelease(N, R);
+    if (!U.ConfigText.empty())
+      onConfigText(N, U.ConfigText);
+    if (Believed.revisions() == Before)
+      return;
+    Control.log("beliefs config=" + std::to_string(Before.Config) + ".." +
+                std::to_string(Believed.revisions().Config) +
+                " upstreams=" + std::to_string(U.Upstreams.size()) +
+                " releases=" + std::to_string(U.Releases.size()));
+    // Those that know less ask for it.
+    wire::Envelope E = encodeDigest(Believed.revisions());
+    for (const auto &[Peer, At] : std::map<std::string, Time>(LastHeard))
+      if (Peer != From)
+        tell(Peer, E);
+  }
+
+  void onConfigText(Time N, const std::string &Text) {
+    try {
+      auto Config =
+          std::make_shared<DeploymentConfig>(platform::decodeConfig(Text));
+      if (!Believed.applyConfig(std::move(Config), Text))
+        return;
+    } catch (const platform::DecodeError &Bad) {
+      Control.log("config outcome=unreadable why=\"" + std::string(Bad.what()) +
+                  "\"");
+      return;
+    }
+    const ServiceSpec *Spec = Believed.service(S.Fleet.Service);
+    if (!Spec)
+      return;
+    Health = Spec->HealthPath;
+    Admission.onConfig(N, Spec->Engine);
+  }
+
+  void tell(const std::string &Peer, wire::Envelope &E) {
+    // Its next digest brings it up to date if it is still there.
+    if (!Entries.send(Peer, E))
+      LastHeard.erase(Peer);
+  }
+
   void reply(const AdmissionAsk &To, const AdmissionReply &R) override {
     wire::Envelope E = encodeReply(To.Id, R);
     if (!Entries.send(To.Peer, E))
@@ -131,11 +183,9 @@
 
   void log(std::string Line) override { Control.log(std::move(Line)); }
 
-  void sendLoad(Time N, const std::string &Peer, const EngineLoad &L) {
-    wire::Envelope E = encodeLoad(L, LastHeard.size());
-    if (!Entries.send(Peer, E))
-      LastHeard.erase(Peer);
-    (void)N;
+  void sendLoad(const std::string &Peer, const EngineLoad &L) {
+    wire::Envelope E = encodeLoad(L, InstanceId, LastHeard.size());
+    tell(Peer, E);
   }
 
   void shareLoad(Time N) {
@@ -154,7 +204,7 @@
     for (const auto &[Peer, At] : LastHeard)
       Peers.push_back(Peer);
     for (const std::string &Peer : Peers)
-      sendLoad(N, Peer, L);
+      sendLoad(Peer, L);
   }
 
   // Traffic thread: the engine.
@@ -257,7 +307,6 @@
   Settings S;
   boost::asio::io_context ControlIo{1};
   ProcessControl Control;
-  StoreFollower Follower;
   boost::asio::steady_timer StopTimer;
 
   boost::asio::io_context Io{1};
@@ -267,6 +316,8 @@
   SideAdmission Admission;
   wire::RouterSocket Entries;
   std::map<std::string, Time> LastHeard;
+  Catalog Believed;
+  Time NextRequest{};
   EngineLoad LastLoad;
   Time LoadSentAt{};
   std::string Health;
--- a/daemon/store_follower.cc
+++ b/daemon/store_follower.cc
@@ -13,48 +13,60 @@
 constexpr Duration AbsenceCheck = std::chrono::milliseconds(200);
 // Upstreams write every second or so, mostly what is of no interest here; a
 // leaving one must be known well within the platform's two seconds.
-constexpr Duration UpstreamGather = std::chrono::milliseconds(500);
-// Configurations come in quick succession at times.
-constexpr Duration ChangeGather = std::chrono::milliseconds(150);
+constexpr Duration UpstreamGather = std::chrono::milliseconds(600);
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &InIo,
-                             const http::Endpoint &Address, Options O,
-                             uint64_t Seed, OnChanged InChanged, OnLog InLog)
-    : Io(InIo), Opts(O),
-      Store(InIo, Address,
-            platform::StoreClient::Options().setStaleLists(O.staleLists()),
-            Seed),
+                             const http::Endpoint &Address, uint64_t Seed,
+                             OnChanged InChanged, OnLog InLog)
+    : Io(InIo), Store(InIo, Address, platform::StoreClient::Options(), Seed),
       Timer(InIo), Changed(std::move(InChanged)), Log(std::move(InLog)) {}
 
 void StoreFollower::start() {
   using platform::StoreObject;
   Store.onContact(
       [this](bool Reached, std::string_view Why) { onContact(Reached, Why); });
-  Store.follow(platform::kinds::Config,
-               {[this](uint64_t, const std::vector<StoreObject> &List) {
-                  for (const StoreObject &O : List)
-                    onConfigObject(O);
-                },
-                [this](const StoreObject &O) { onConfigObject(O); },
-                {},
-                ChangeGather});
-  if (Opts.upstreams())
-    Store.follow(
-        platform::kinds::Upstreams,
-        {[this](uint64_t Revision, const std::vector<StoreObject> &List) {
-           onUpstreams(Revision, List);
-         },
-         [this](const StoreObject &O) { onUpstream(O); },
-         [this] { Believed.onStoreRegained(presentTime().Steady); }});
-  Store.follow(platform::kinds::Releases,
-               {[this](uint64_t, const std::vector<StoreObject> &List) {
-                  for (const StoreObject &O : List)
-                    onRelease(O);
-                },
-                [this](const StoreObject &O) { onRelease(O); },
-                {},
-                ChangeGather});
+  platform::FollowHandlers Config;
+  Config.OnList = [this](uint64_t Revision,
+                         const std::vector<StoreObject> &List) {
+    logList(platform::kinds::Config, Revision, List);
+    for (const StoreObject &O : List)
+      onConfigObject(O);
+  };
+  Config.OnChange = [this](const StoreObject &O) { onConfigObject(O); };
+  Store.follow(platform::kinds::Config, std::move(Config));
+
+  platform::FollowHandlers Upstreams;
+  Upstreams.OnList = [this](uint64_t Revision,
+                            const std::vector<StoreObject> &List) {
+    onUpstreams(Revision, List);
+  };
+  Upstreams.OnChange = [this](const StoreObject &O) { onUpstream(O); };
+  Upstreams.OnRegained = [this] {
+    Believed.onStoreRegained(presentTime().Steady);
+  };
+  Upstreams.Gather = UpstreamGather;
+  Store.follow(platform::kinds::Upstreams, std::move(Upstreams));
+
+  platform::FollowHandlers Releases;
+  Releases.OnList = [this](uint64_t Revision,
+                           const std::vector<StoreObject> &List) {
+    logList(platform::kinds::Releases, Revision, List);
+    for (const StoreObject &O : List)
+      onRelease(O);
+  };
+  Releases.OnChange = [this](const StoreObject &O) { onRelease(O); };
+  Store.follow(platform::kinds::Releases, std::move(Releases));
+}
+
+void StoreFollower::logList(std::string_view Kind, uint64_t Revision,
+                            const std::vector<platform::StoreObject> &List) {
+  uint64_t Newest = 0;
+  for (const platform::StoreObject &O : List)
+    Newest = std::max(Newest, O.Revision);
+  Log("store listed=" + std::string(Kind) + " objects=" +
+      std::to_string(List.size()) + " revision=" + std::to_string(Revision) +
+      " newest=" + std::to_string(Newest));
 }
 
 void StoreFollower::onConfigObject(const platform::StoreObject &O) {
@@ -65,7 +77,7 @@
         std::make_shared<DeploymentConfig>(platform::decodeConfig(O.Content));
     const uint64_t Version = Config->Version;
     const size_t Routes = Config->Routes.size();
-    if (!Believed.applyConfig(std::move(Config)))
+    if (!Believed.applyConfig(std::move(Config), O.Content))
       return;
     Log("config version=" + std::to_string(Version) + " revision=" +
         std::to_string(O.Revision) + " routes=" + std::to_string(Routes));
@@ -93,12 +105,8 @@
   std::optional<UpstreamRecord> R;
   if (!O.Removed)
     R = platform::decodeUpstream(O.Name, O.Content);
-  const auto Old = Believed.upstreams().find(O.Name);
-  const bool Same = R ? Old != Believed.upstreams().end() && Old->second == *R
-                      : Old == Believed.upstreams().end();
-  Believed.applyUpstream(presentTime().Steady, O.Revision, O.Name,
-                         R ? &*R : nullptr);
-  if (Same)
+  if (!Believed.applyUpstream(presentTime().Steady, O.Revision, O.Name,
+                              R ? &*R : nullptr))
     return;
   Log("upstream id=" + O.Name + " state=" +
       (R ? (R->Draining ? "draining" : "ready")
@@ -111,11 +119,12 @@
 void StoreFollower::onRelease(const platform::StoreObject &O) {
   if (O.Removed)
     return;
-  const auto R = platform::decodeRelease(O.Content);
+  auto R = platform::decodeRelease(O.Content);
   if (!R) {
     Log("release object=" + O.Name + " outcome=unreadable");
     return;
   }
+  R->Revision = O.Revision;
   if (!Believed.applyRelease(*R))
     return;
   Log("release model=" + R->Model + " adapter=" + R->Adapter + " version=" +
@@ -123,6 +132,23 @@
   changed();
 }
 
+void StoreFollower::onBeliefs(const BeliefUpdate &U) {
+  bool Changed = Believed.applyBeliefs(presentTime().Steady, U);
+  if (!U.ConfigText.empty()) {
+    platform::StoreObject O;
+    O.Name = "peer";
+    O.Content = U.ConfigText;
+    onConfigObject(O);
+  }
+  if (!Changed)
+    return;
+  Log("beliefs upstreams=" + std::to_string(U.Upstreams.size()) +
+      " releases=" + std::to_string(U.Releases.size()) +
+      " upstream_revision=" + std::to_string(U.AsOf.Upstreams) +
+      " store=" + (InContact ? "reached" : "lost"));
+  changed();
+}
+
 void StoreFollower::onContact(bool Reached, std::string_view Why) {
   InContact = Reached;
   Log(std::string("store state=") + (Reached ? "regained" : "lost") +
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -19,37 +19,22 @@
 /// Not thread-safe.
 class StoreFollower {
 public:
-  class Options {
-  public:
-    bool upstreams() const { return Upstreams; }
-    bool staleLists() const { return StaleLists; }
-    /// Whether the list of upstreams is followed, besides configuration and
-    /// releases.
-    Options &setUpstreams(bool On) {
-      Upstreams = On;
-      return *this;
-    }
-    Options &setStaleLists(bool On) {
-      StaleLists = On;
-      return *this;
-    }
-
-  private:
-    bool Upstreams = true;
-    bool StaleLists = false;
-  };
   using OnChanged = std::function<void()>;
   using OnLog = std::function<void(std::string)>;
 
   StoreFollower(boost::asio::io_context &Io, const http::Endpoint &Store,
-                Options O, uint64_t Seed, OnChanged Changed, OnLog Log);
+                uint64_t Seed, OnChanged Changed, OnLog Log);
   void start();
+  /// What another process knows that this one lacks.
+  void onBeliefs(const BeliefUpdate &U);
   const Catalog &catalog() const { return Believed; }
   /// False while the store cannot be reached.
   bool inContact() const { return InContact; }
   uint64_t storeCalls() const { return Store.calls(); }
 
 private:
+  void logList(std::string_view Kind, uint64_t Revision,
+               const std::vector<platform::StoreObject> &List);
   void onConfigObject(const platform::StoreObject &O);
   void onUpstreams(uint64_t Revision,
                    const std::vector<platform::StoreObject> &List);
@@ -60,7 +45,6 @@
   void dropAbsent();
 
   boost::asio::io_context &Io;
-  Options Opts;
   platform::StoreClient Store;
   boost::asio::steady_timer Timer;
   Catalog Believed;
