Learn the reading rate as a slope, count backlog by rank, keep copies few

Cause: engines answer no sooner than a constant of tens of milliseconds, which the learned rate took for slow reading (5.6 instead of 19 tokens/ms for an average prompt). Waits were overestimated three times over: requests spilled to engines without their adapter, which loaded and evicted copies, and were refused although engines read at a third of their rate.

Change: PrefillModel (regression; urgent prompts wait only for more urgent ones and the piece in hand); a copy away from its homes is charged 500 ms; homes by half an engine's rate; watches are renewed at a rate shared by the entries; a caller that has left before its request is read is not served.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -15,14 +15,6 @@
 
 namespace {
 
-// Rate of reading prompts that is assumed until answers tell (tokens per ms),
-// and bounds for what is learned from them.
-constexpr double MinPrefillRate = 4;
-constexpr double MaxPrefillRate = 400;
-// Weight of one answer in the learned rate.
-constexpr double RateWeight = 0.05;
-// Prompts below this say more about latency than about the rate.
-constexpr uint32_t MinRateSample = 400;
 // A granted request that is neither running nor waiting at the engine after
 // this time is taken for lost with its entry.
 constexpr Duration LostGrantAge = std::chrono::milliseconds(1500);
@@ -112,13 +104,9 @@
                              A.OutputTokens / 2) <= Room;
 }
 
-Duration SideAdmission::backlog(const Time &N) const {
-  return std::max(Duration(0), PrefillFree - N);
-}
-
 Duration SideAdmission::expectedWait(const Time &N,
                                      const AdmissionAsk &A) const {
-  Duration Wait = backlog(N);
+  Duration Wait = Prefill.backlog(N, A.Rank);
   if (!baseModel(A.Model))
     Wait += Spec.Models.empty() ? std::chrono::seconds(1)
                                 : Spec.Models.front().LoadTime;
@@ -166,7 +154,7 @@
 void SideAdmission::grant(const Time &N, const AdmissionAsk &A) {
   AdmissionReply R;
   R.What = Verdict::Go;
-  R.Expected = backlog(N);
+  R.Expected = Prefill.backlog(N, A.Rank);
   R.Reason = "ready";
   Grant G;
   if (!A.Adapter.empty()) {
@@ -181,9 +169,9 @@
   G.Granted = N;
   G.Expires = N + A.TimeLeft + EndGrace;
   TokensGranted += G.Tokens;
-  PrefillFree =
-      std::max(PrefillFree, N) +
-      Duration(static_cast<int64_t>(A.PromptTokens / PrefillRate * 1000));
+  G.FoundIdle = Prefill.backlog(N, BacklogRanks) == Duration(0);
+  Prefill.add(N, A.Rank, A.PromptTokens);
+
   Grants[{A.Peer, A.Id}] = std::move(G);
   Port.reply(A, R);
 }
@@ -206,12 +194,9 @@
     return;
   }
   const Grant &G = It->second;
-  if (FirstToken > Duration(0) && G.Prompt >= MinRateSample) {
-    const double Seen = G.Prompt / (seconds(FirstToken) * 1e3);
-    PrefillRate +=
-        RateWeight *
-        (std::clamp(Seen, MinPrefillRate, MaxPrefillRate) - PrefillRate);
-  }
+  if (FirstToken > Duration(0) && G.FoundIdle)
+    Prefill.learn(G.Prompt, FirstToken);
+
   if (!G.Adapter.empty()) {
     const auto State = Adapters.find(G.Adapter);
     if (State != Adapters.end() && State->second.Pins > 0)
@@ -237,7 +222,7 @@
     if (Restarted) {
       Grants.clear();
       TokensGranted = 0;
-      PrefillFree = N;
+      Prefill.clear(N);
       Adapters.clear();
       Open.reset();
       NextBaseLoad = N;
@@ -288,7 +273,7 @@
       return true;
     });
   if (R.Running + R.Waiting == 0)
-    PrefillFree = std::min(PrefillFree, N);
+    Prefill.clear(N);
   serveQueue(N);
   placeOrder(N);
 }
@@ -547,8 +532,8 @@
 EngineLoad SideAdmission::load(const Time &N) const {
   EngineLoad Out;
   Out.Serving = Reachable && !Report.Models.empty();
-  Out.Backlog = backlog(N);
-  Out.PrefillRate = PrefillRate;
+  Out.Backlog = Prefill.backlogs(N);
+  Out.PrefillRate = Prefill.rate();
   Out.Running = static_cast<uint32_t>(Grants.size());
   Out.MemoryFree =
       Spec.MemoryTokens - std::min(Spec.MemoryTokens, TokensGranted);
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "admission/engine_report.h"
+#include "admission/prefill_model.h"
 #include "catalog/types.h"
 
 namespace goldcrestlink {
@@ -64,8 +65,8 @@
 struct EngineLoad {
   /// False while the engine cannot be reached or has no base model.
   bool Serving = false;
-  /// Work that stands before a new prompt.
-  Duration Backlog{};
+  /// Work that stands before a new prompt, by its rank.
+  Backlogs Backlog{};
   /// Prompt tokens read per millisecond.
   double PrefillRate = 20;
   uint32_t Running = 0;
@@ -172,9 +173,10 @@
     std::string Adapter; // "model/adapter", empty for the base model.
     uint64_t Tokens = 0;
     uint32_t Prompt = 0;
+    // It found nothing before it, so its delay tells the engine's rate.
+    bool FoundIdle = false;
     Time Granted;
     Time Expires;
-    bool BacklogFree = false;
   };
 
   struct Waiting {
@@ -206,7 +208,6 @@
   void grant(const Time &N, const AdmissionAsk &A);
   void refuse(const AdmissionAsk &A, Duration Again, std::string_view Reason);
   Duration expectedWait(const Time &N, const AdmissionAsk &A) const;
-  Duration backlog(const Time &N) const;
   void serveQueue(const Time &N);
   void expire(const Time &N);
   void placeOrder(const Time &N);
@@ -242,9 +243,7 @@
   uint64_t NextOrder = 1;
   Time NextBaseLoad{};
   Time NoOrderBefore{};
-  // The engine is expected to have read all granted prompts by then.
-  Time PrefillFree{};
-  double PrefillRate = 20;
+  PrefillModel Prefill;
   uint64_t TokensGranted = 0;
   uint64_t LoadsOrdered = 0;
   uint64_t Evictions = 0;
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -76,7 +76,8 @@
   wire::Envelope E;
   wire::EngineLoad &M = *E.mutable_engine_load();
   M.set_serving(L.Serving);
-  M.set_backlog_us(static_cast<uint64_t>(L.Backlog.count()));
+  for (const Duration D : L.Backlog)
+    M.add_backlog_us(static_cast<uint64_t>(D.count()));
   M.set_prefill_tokens_per_s(static_cast<uint32_t>(L.PrefillRate * 1000));
   M.set_running(L.Running);
   M.set_memory_free(L.MemoryFree);
@@ -90,7 +91,10 @@
 EngineLoad decodeLoad(const wire::EngineLoad &M) {
   EngineLoad L;
   L.Serving = M.serving();
-  L.Backlog = Duration(static_cast<int64_t>(M.backlog_us()));
+  for (size_t Row = 0; Row < BacklogRanks; ++Row)
+    if (static_cast<int>(Row) < M.backlog_us_size())
+      L.Backlog[Row] =
+          Duration(static_cast<int64_t>(M.backlog_us(static_cast<int>(Row))));
   L.PrefillRate = std::max(MinPrefillRate, M.prefill_tokens_per_s() / 1000.0);
   L.Running = M.running();
   L.MemoryFree = M.memory_free();
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -338,11 +338,18 @@
       const std::string &Named = Message.engine_load().upstream();
       Decisions.onLoad(N, Named.empty() ? Id : Named,
                        decodeLoad(Message.engine_load()));
-      if (Message.engine_load().entries() > 0)
-        Decisions.onEntries(Message.engine_load().entries());
+      onEntries(Message.engine_load().entries());
     }
   }
 
+  void onEntries(size_t Count) {
+    if (Count == 0 || Count == Entries)
+      return;
+    Entries = Count;
+    Decisions.onEntries(Count);
+    Sinks.Entries(Count);
+  }
+
   void sideSilent(const UpstreamRecord &U) override {
     Link &L = linkTo(U);
     const Time N = now();
@@ -398,6 +405,7 @@
   std::shared_ptr<const Catalog> Known;
   std::unordered_map<std::string, Link> Links;
   std::map<std::string, std::unique_ptr<SideLink>> PeerLinks;
+  size_t Entries = AssumedEntries;
   Time NextDigest{};
   Time NextRequest{};
   std::unordered_map<uint64_t, OpenCall> Open;
--- a/daemon/entry_traffic.h
+++ b/daemon/entry_traffic.h
@@ -23,6 +23,8 @@
   std::function<void(std::string)> Log;
   /// What another process knows of the deployment that this one lacks.
   std::function<void(BeliefUpdate)> Beliefs;
+  /// Entries alive, this one included.
+  std::function<void(size_t)> Entries;
 };
 
 /// Construct and run() on any threads; the other methods are thread-safe.
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -44,6 +44,10 @@
                  [this](BeliefUpdate U) {
                    boost::asio::post(
                        Io, [this, U = std::move(U)] { Follower.onBeliefs(U); });
+                 },
+                 [this](size_t Count) {
+                   boost::asio::post(
+                       Io, [this, Count] { Follower.setEntries(Count); });
                  }}),
         Follower(
             Io, S.Fleet.Store, Seed + 1, [this] { publish(); },
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -176,6 +176,12 @@
   }
 
   void reply(const AdmissionAsk &To, const AdmissionReply &R) override {
+    if (R.What == Verdict::Refuse)
+      Control.log("refuse ask=" + std::to_string(To.Id) +
+                  " adapter=" + To.Model + "/" + To.Adapter + " rank=" +
+                  std::to_string(To.Rank) + " reason=" + std::string(R.Reason) +
+                  " expected_ms=" + std::to_string(R.Expected.count() / 1000) +
+                  " patience_ms=" + std::to_string(To.Patience.count() / 1000));
     wire::Envelope E = encodeReply(To.Id, R);
     if (!Entries.send(To.Peer, E))
       Control.log("reply outcome=entry_gone ask=" + std::to_string(To.Id));
--- a/daemon/store_follower.cc
+++ b/daemon/store_follower.cc
@@ -14,6 +14,11 @@
 // Upstreams write every second or so, mostly what is of no interest here; a
 // leaving one must be known well within the platform's two seconds.
 constexpr Duration UpstreamGather = std::chrono::milliseconds(600);
+// Mean time between the renewals of any entry's watch of a kind: a store that
+// drops its history leaves waiting watches without news. Configurations are to
+// be in force within two seconds, releases within five.
+constexpr Duration ConfigRenewal = std::chrono::milliseconds(450);
+constexpr Duration ReleaseRenewal = std::chrono::milliseconds(1000);
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &InIo,
@@ -59,6 +64,12 @@
   Store.follow(platform::kinds::Releases, std::move(Releases));
 }
 
+void StoreFollower::setEntries(size_t Count) {
+  const auto Factor = static_cast<int64_t>(Count);
+  Store.setWatchTime(platform::kinds::Config, ConfigRenewal * Factor);
+  Store.setWatchTime(platform::kinds::Releases, ReleaseRenewal * Factor);
+}
+
 void StoreFollower::logList(std::string_view Kind, uint64_t Revision,
                             const std::vector<platform::StoreObject> &List) {
   uint64_t Newest = 0;
--- a/daemon/store_follower.h
+++ b/daemon/store_follower.h
@@ -27,6 +27,9 @@
   void start();
   /// What another process knows that this one lacks.
   void onBeliefs(const BeliefUpdate &U);
+  /// Entries that tell each other what they learn, this one included. Their
+  /// watches together are renewed at a rate that does not grow with them.
+  void setEntries(size_t Count);
   const Catalog &catalog() const { return Believed; }
   /// False while the store cannot be reached.
   bool inContact() const { return InContact; }
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -35,7 +35,8 @@
   View &V = Views[Id];
   V.Load = Load;
   V.Known = true;
-  V.Free = N + Load.Backlog;
+  for (size_t Row = 0; Row < BacklogRanks; ++Row)
+    V.Free[Row] = N + Load.Backlog[Row];
   V.SilentUntil = Time{};
 }
 
@@ -61,11 +62,14 @@
              : It->second.TokenRate * decay(N - It->second.At, DemandSeconds);
 }
 
-void EngineBoard::onSent(Time N, const std::string &Id, uint32_t PromptTokens) {
+void EngineBoard::onSent(Time N, const std::string &Id,
+                         const EngineWant &Want) {
   View &V = Views[Id];
-  V.Free =
-      std::max(V.Free, N) + Duration(static_cast<int64_t>(
-                                PromptTokens * 1000.0 / V.Load.PrefillRate));
+  const Duration Reading(
+      static_cast<int64_t>(Want.PromptTokens * 1000.0 / V.Load.PrefillRate));
+  // More urgent prompts are read first, so they do not wait for this one.
+  for (size_t Row = backlogRow(Want.Rank); Row < BacklogRanks; ++Row)
+    V.Free[Row] = std::max(V.Free[Row], N) + Reading;
 }
 
 void EngineBoard::onOutcome(Time N, const std::string &Id, bool Failed) {
@@ -117,12 +121,23 @@
   return It == Views.end() || N >= It->second.SilentUntil;
 }
 
+double EngineBoard::meanPrefillRate() const {
+  double Sum = 0;
+  size_t Count = 0;
+  for (const auto &[Id, V] : Views)
+    if (V.Known) {
+      Sum += V.Load.PrefillRate;
+      ++Count;
+    }
+  return Count == 0 ? DefaultPrefillRate : Sum / static_cast<double>(Count);
+}
+
 size_t EngineBoard::homes(Time N, const EngineWant &Want) const {
   if (Want.Adapter.empty())
     return 0;
   const double Busy = tokenRate(N, nameOf(Want)) *
                       static_cast<double>(Entries) /
-                      (DefaultPrefillRate * 1000.0);
+                      (meanPrefillRate() * 1000.0);
   return 1 + static_cast<size_t>(Busy / Opts.homeUtilisation());
 }
 
@@ -155,12 +170,14 @@
                   V.Load.Held.end();
     if (!C.SideAnswers && !C.Holds)
       continue;
-    C.Expected = std::max(Duration(0), V.Free - N) +
+    C.Expected = std::max(Duration(0), V.Free[backlogRow(Want.Rank)] - N) +
                  Duration(static_cast<int64_t>(Want.PromptTokens * 1000.0 /
                                                V.Load.PrefillRate));
     if (!C.Holds)
       C.Expected += C.IsHome ? Opts.homeLoadTime() : Opts.loadTime();
     C.Cost = C.Expected;
+    if (!C.Holds && !C.IsHome)
+      C.Cost += Opts.strayCopyCost();
     if (U->DataCentre != Opts.dataCentre())
       C.Cost += Opts.distanceCost();
     C.Cost += Duration(static_cast<int64_t>(
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -8,6 +8,7 @@
 #ifndef GOLDCRESTLINK_FORWARD_ENGINE_BOARD_H
 #define GOLDCRESTLINK_FORWARD_ENGINE_BOARD_H
 
+#include <array>
 #include <map>
 #include <span>
 #include <string>
@@ -26,6 +27,7 @@
   std::string Adapter;
   uint64_t Version = 0;
   uint32_t PromptTokens = 0;
+  uint32_t Rank = 0;
 };
 
 /// One engine as a candidate.
@@ -53,6 +55,7 @@
     Duration loadTime() const { return LoadTime; }
     Duration homeLoadTime() const { return HomeLoadTime; }
     Duration distanceCost() const { return DistanceCost; }
+    Duration strayCopyCost() const { return StrayCopyCost; }
     Duration failureCost() const { return FailureCost; }
     double homeUtilisation() const { return HomeUtilisation; }
     Duration silencePause() const { return SilencePause; }
@@ -68,9 +71,11 @@
   private:
     std::string DataCentre;
     size_t MaxAdapters = 8192;
-    // An adapter from the weight store, and what a copy away from its homes
-    // costs the slots of others.
-    Duration LoadTime = std::chrono::milliseconds(420);
+    // Expected time of a load from the weight store.
+    Duration LoadTime = std::chrono::milliseconds(280);
+    // Charged for a copy away from the adapter's homes: it takes a slot from
+    // others and a load from the store, for a wait that would soon pass.
+    Duration StrayCopyCost = std::chrono::milliseconds(500);
     // At a home the adapter was often held recently and comes back faster.
     Duration HomeLoadTime = std::chrono::milliseconds(120);
     // Bytes between data centres are dear; waits below this are alike.
@@ -79,7 +84,7 @@
     Duration FailureCost = std::chrono::seconds(2);
     // Share of an engine's prompt reading that one adapter may take before it
     // gets a further home.
-    double HomeUtilisation = 0.35;
+    double HomeUtilisation = 0.5;
     // A side or engine that did not answer is left alone this long.
     Duration SilencePause = std::chrono::milliseconds(700);
   };
@@ -92,7 +97,7 @@
   /// A request for the adapter arrived at this entry.
   void onDemand(Time N, const EngineWant &Want);
   /// A request was sent, or is about to be.
-  void onSent(Time N, const std::string &Id, uint32_t PromptTokens);
+  void onSent(Time N, const std::string &Id, const EngineWant &Want);
   void onOutcome(Time N, const std::string &Id, bool Failed);
   /// The side beside the engine did not answer in time, or does again.
   void onSideSilent(Time N, const std::string &Id);
@@ -124,8 +129,9 @@
   struct View {
     EngineLoad Load;
     bool Known = false;
-    // When the prompts known to stand at the engine will have been read.
-    Time Free{};
+    // By rank, when the prompts known to stand at the engine will have been
+    // read.
+    std::array<Time, BacklogRanks> Free{};
     double Failures = 0;
     Time FailuresAt{};
     Time SilentUntil{};
@@ -141,6 +147,7 @@
 
   double failureShare(Time N, const View &V) const;
   double tokenRate(Time N, const std::string &Name) const;
+  double meanPrefillRate() const;
 
   Options Opts;
   size_t Entries = 4;
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -246,7 +246,8 @@
 EngineWant Forwarder::wantOf(const ActiveCall &A) const {
   const ModelAsk &Ask = A.Call.Ask;
   return {Ask.Model, Ask.Adapter,
-          Known->releasedVersion(Ask.Model, Ask.Adapter), Ask.PromptTokens};
+          Known->releasedVersion(Ask.Model, Ask.Adapter), Ask.PromptTokens,
+          A.Rank};
 }
 
 Duration Forwarder::patienceOf(Time N, const ActiveCall &A) const {
@@ -319,7 +320,7 @@
   Ask.OutputTokens = A.Call.Ask.MaxOutputTokens;
   Ask.Patience = patienceOf(N, A);
   Ask.TimeLeft = A.Deadline - N;
-  Board.onSent(N, A.Upstream.Id, A.Call.Ask.PromptTokens);
+  Board.onSent(N, A.Upstream.Id, wantOf(A));
   Port.ask(A.Upstream, Ask);
 }
 
--- /dev/null
+++ b/forward/testing/forwarder_test.cc
@@ -0,0 +1,414 @@
+// An entry's decisions about callers' requests, by what callers get and what
+// upstreams are sent.
+#include <doctest/doctest.h>
+
+#include "forward/forwarder.h"
+
+using namespace goldcrestlink;
+using namespace goldcrestlink::forward;
+
+namespace {
+
+Time at(int64_t Ms) { return Time(std::chrono::milliseconds(100000 + Ms)); }
+
+RouteSpec route(const char *Prefix, const char *Service, Repeatability Repeat,
+                bool Streaming, uint32_t Attempts) {
+  RouteSpec R;
+  R.Name = Prefix;
+  R.Host = "h";
+  R.PathPrefix = Prefix;
+  R.Repeat = Repeat;
+  R.Streaming = Streaming;
+  R.MaxAttempts = Attempts;
+  R.Timeout = std::chrono::milliseconds(5000);
+  R.Objective = std::chrono::milliseconds(1000);
+  R.Targets = {{Service, 1}};
+  return R;
+}
+
+UpstreamRecord upstream(const char *Id, const char *Service) {
+  UpstreamRecord U;
+  U.Id = Id;
+  U.Service = Service;
+  U.Address = {"10.0.0.1", 80};
+  U.Slots = 6;
+  return U;
+}
+
+std::shared_ptr<Catalog> deployment() {
+  auto Config = std::make_shared<DeploymentConfig>();
+  Config->Version = 1;
+  Config->Routes = {
+      route("/once/", "plain", Repeatability::AtMostOnce, false, 2),
+      route("/read/", "plain", Repeatability::Idempotent, false, 2),
+      route("/stream/", "engines", Repeatability::AtMostOnce, true, 2),
+      route("/resume/", "engines", Repeatability::ResumableStream, true, 2)};
+  ServiceSpec Plain;
+  Plain.Name = "plain";
+  ServiceSpec Engines;
+  Engines.Name = "engines";
+  Engines.IsEngine = true;
+  Config->Services = {Plain, Engines};
+  auto C = std::make_shared<Catalog>();
+  C->applyConfig(Config, "");
+  uint64_t Revision = 1;
+  for (const char *Id : {"p1", "p2"}) {
+    const UpstreamRecord U = upstream(Id, "plain");
+    C->applyUpstream(at(0), Revision++, Id, &U);
+  }
+  for (const char *Id : {"e1", "e2", "e3"}) {
+    const UpstreamRecord U = upstream(Id, "engines");
+    C->applyUpstream(at(0), Revision++, Id, &U);
+  }
+  return C;
+}
+
+// Records what the Forwarder wants done.
+struct Recorder : ForwardPort {
+  struct Sent {
+    SendId Id;
+    SendTerms Terms;
+  };
+  struct Asked {
+    std::string Upstream;
+    AdmissionAsk Ask;
+  };
+
+  void ask(const UpstreamRecord &Of, const AdmissionAsk &A) override {
+    Asks.push_back({Of.Id, A});
+  }
+  void endAsk(const UpstreamRecord &, uint64_t AskId, Duration) override {
+    EndedAsks.insert(AskId);
+  }
+  void sideSilent(const UpstreamRecord &) override { ++SilentSides; }
+  void send(SendId S, const CallerCall &, const SendTerms &T) override {
+    Sends.push_back({S, T});
+  }
+  void cancelSend(SendId) override { ++Cancelled; }
+  void answerWhole(uint64_t, unsigned Given, const http::Headers &,
+                   std::string Text) override {
+    Status = Given;
+    Body = std::move(Text);
+    ++Ends;
+  }
+  void answerBegin(uint64_t, unsigned Given, const http::Headers &) override {
+    Status = Given;
+  }
+  void answerData(uint64_t, std::string Part) override { Body += Part; }
+  void answerEnd(uint64_t) override { ++Ends; }
+  void answerAbort(uint64_t) override {
+    Aborted = true;
+    ++Ends;
+  }
+  void answerOwn(uint64_t, unsigned Given, std::string_view, Duration After,
+                 EndReason Why) override {
+    Status = Given;
+    RetryAfter = After;
+    Reason = Why;
+    ++Ends;
+  }
+  void log(std::string) override {}
+  void record(uint32_t, std::string_view, Duration, Duration) override {}
+
+  std::vector<Asked> Asks;
+  std::vector<Sent> Sends;
+  std::set<uint64_t> EndedAsks;
+  unsigned Status = 0;
+  std::string Body;
+  Duration RetryAfter{};
+  EndReason Reason = EndReason::NoConfig;
+  bool Aborted = false;
+  int Ends = 0;
+  int Cancelled = 0;
+  int SilentSides = 0;
+};
+
+struct Entry {
+  Entry() : Machine(Forwarder::Options(), Port, 7) {
+    Machine.onCatalog(at(0), deployment());
+  }
+
+  void call(const std::string &Target, int64_t TimeLeftMs = 10000) {
+    CallerCall C;
+    C.RequestId = "r1";
+    C.Method = "POST";
+    C.Host = "h";
+    C.Target = Target;
+    C.TimeLeft = std::chrono::milliseconds(TimeLeftMs);
+    C.Ask = {"m", "a1", 500, 50};
+    Machine.onCall(at(1), 1, std::move(C));
+  }
+
+  void go(int64_t Ms, Verdict V = Verdict::Go) {
+    AdmissionReply R;
+    R.What = V;
+    R.Version = 1;
+    R.Expected = std::chrono::milliseconds(400);
+    const Recorder::Asked &A = Port.Asks.back();
+    Machine.onAdmission(at(Ms), A.Upstream, A.Ask.Id, R);
+  }
+
+  static AnswerHead head(unsigned Status, bool NotRun = false) {
+    AnswerHead H;
+    H.Status = Status;
+    H.NotRun = NotRun;
+    H.Signed = !NotRun;
+    H.EventStream = Status == 200;
+    return H;
+  }
+
+  void answer(int64_t Ms, const AnswerHead &H, const std::string &Body) {
+    const SendId S = Port.Sends.back().Id;
+    Machine.onHead(at(Ms), S, H);
+    if (!Body.empty())
+      Machine.onData(at(Ms), S, Body);
+    Machine.onDone(at(Ms), S);
+  }
+
+  void breakOff(int64_t Ms, SendError E = SendError::Broken) {
+    Machine.onError(at(Ms), Port.Sends.back().Id, E, "reset");
+  }
+
+  Recorder Port;
+  Forwarder Machine;
+};
+
+enum class Event {
+  Whole,
+  Failure500,
+  NotRun503,
+  Unsure503,
+  Broken,
+  NotSent,
+  Unsigned
+};
+
+struct Row {
+  const char *Target;
+  Event What;
+  size_t Sends;
+  // Of the answer, once no further send is made; 0: none yet.
+  unsigned Status;
+};
+
+void play(Entry &E, Event What) {
+  switch (What) {
+  case Event::Whole:
+    return E.answer(10, Entry::head(200), "id: 1\n\n");
+  case Event::Failure500:
+    return E.answer(10, Entry::head(500), "no");
+  case Event::NotRun503:
+    return E.answer(10, Entry::head(503, true), "");
+  case Event::Unsure503:
+    return E.answer(10, Entry::head(503), "");
+  case Event::Broken:
+    return E.breakOff(10);
+  case Event::NotSent:
+    return E.breakOff(10, SendError::NotSent);
+  case Event::Unsigned: {
+    AnswerHead H = Entry::head(200);
+    H.Signed = false;
+    return E.answer(10, H, "x");
+  }
+  }
+}
+
+} // namespace
+
+TEST_CASE("what is sent again follows from the route and the outcome") {
+  const Row Rows[] = {
+      {"/once/x", Event::Whole, 1, 200},
+      {"/once/x", Event::Failure500, 1, 500},
+      {"/once/x", Event::NotRun503, 2, 0},
+      {"/once/x", Event::Unsure503, 1, 502},
+      {"/once/x", Event::Broken, 1, 502},
+      {"/once/x", Event::NotSent, 2, 0},
+      {"/once/x", Event::Unsigned, 1, 502},
+      {"/read/x", Event::Whole, 1, 200},
+      {"/read/x", Event::Failure500, 2, 0},
+      {"/read/x", Event::NotRun503, 2, 0},
+      {"/read/x", Event::Broken, 2, 0},
+      {"/read/x", Event::Unsigned, 2, 0},
+      {"/stream/x", Event::Whole, 1, 200},
+      {"/stream/x", Event::Broken, 1, 502},
+      {"/stream/x", Event::NotRun503, 2, 0},
+      {"/resume/x", Event::Broken, 2, 0},
+      {"/resume/x", Event::Whole, 1, 200},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Target);
+    CAPTURE(static_cast<int>(R.What));
+    Entry E;
+    E.call(R.Target);
+    if (!E.Port.Asks.empty())
+      E.go(2);
+    REQUIRE(E.Port.Sends.size() == 1);
+    const size_t AsksBefore = E.Port.Asks.size();
+    play(E, R.What);
+    if (E.Port.Asks.size() > AsksBefore)
+      E.go(12);
+    CHECK(E.Port.Sends.size() == R.Sends);
+    CHECK(E.Port.Status == R.Status);
+    CHECK(E.Port.Ends == (R.Status == 0 ? 0 : 1));
+    if (R.Sends == 2)
+      CHECK(E.Port.Sends[0].Terms.To.Id != E.Port.Sends[1].Terms.To.Id);
+  }
+}
+
+TEST_CASE("no more upstreams are tried than the route allows") {
+  Entry E;
+  E.call("/read/x");
+  E.breakOff(10);
+  REQUIRE(E.Port.Sends.size() == 2);
+  E.breakOff(20);
+  CHECK(E.Port.Sends.size() == 2);
+  CHECK(E.Port.Status == 502);
+}
+
+TEST_CASE("an upstream's own failure is passed on if the repeat fails") {
+  Entry E;
+  E.call("/read/x");
+  E.answer(10, Entry::head(500), "first");
+  E.breakOff(20);
+  CHECK(E.Port.Status == 500);
+  CHECK(E.Port.Body == "first");
+}
+
+TEST_CASE("a stream goes on after its last whole event") {
+  Entry E;
+  E.call("/resume/x");
+  E.go(2);
+  const SendId First = E.Port.Sends.back().Id;
+  E.Machine.onHead(at(5), First, Entry::head(200));
+  E.Machine.onData(at(6), First,
+                   "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  E.breakOff(10);
+  E.go(12);
+  REQUIRE(E.Port.Sends.size() == 2);
+  CHECK(E.Port.Sends[1].Terms.AfterEvent == "2");
+  E.answer(20, Entry::head(200), "id: 3\ndata: c\n\n");
+  CHECK(E.Port.Body ==
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  CHECK_FALSE(E.Port.Aborted);
+}
+
+TEST_CASE("a stream that may not be resumed ends visibly broken") {
+  Entry E;
+  E.call("/stream/x");
+  E.go(2);
+  const SendId S = E.Port.Sends.back().Id;
+  E.Machine.onHead(at(5), S, Entry::head(200));
+  E.Machine.onData(at(6), S, "id: 1\ndata: a\n\n");
+  E.breakOff(10);
+  CHECK(E.Port.Aborted);
+  CHECK(E.Port.Sends.size() == 1);
+}
+
+TEST_CASE("a refusal says when to come back, within a third of the time left") {
+  Entry E;
+  E.call("/stream/x", 900);
+  for (int I = 0; I < 3; ++I)
+    E.go(2 + I, Verdict::Refuse);
+  CHECK(E.Port.Status == 503);
+  CHECK(E.Port.Sends.empty());
+  CHECK(E.Port.RetryAfter > Duration(0));
+  CHECK(E.Port.RetryAfter <= std::chrono::milliseconds(300));
+}
+
+TEST_CASE("a side that does not answer is passed over") {
+  Entry E;
+  E.call("/stream/x");
+  const std::string Silent = E.Port.Asks.back().Upstream;
+  E.Machine.onTimer(at(150));
+  CHECK(E.Port.SilentSides == 1);
+  REQUIRE(E.Port.Asks.size() >= 2);
+  CHECK(E.Port.Asks.back().Upstream != Silent);
+}
+
+TEST_CASE("without its side, an engine that holds the adapter is sent to") {
+  Entry E;
+  EngineLoad L;
+  L.Serving = true;
+  L.Held = {adapterHash("m", "a1")};
+  E.Machine.onLoad(at(0), "e2", L);
+  E.call("/stream/x");
+  REQUIRE(E.Port.Asks.back().Upstream == "e2");
+  E.Machine.onTimer(at(150));
+  REQUIRE(E.Port.Sends.size() == 1);
+  CHECK(E.Port.Sends[0].Terms.To.Id == "e2");
+}
+
+TEST_CASE("nothing new goes to a leaving upstream") {
+  Entry E;
+  E.call("/stream/x");
+  const std::string First = E.Port.Asks.back().Upstream;
+  auto C = deployment();
+  const UpstreamRecord Leaving = [&] {
+    UpstreamRecord U = upstream(First.c_str(), "engines");
+    U.Draining = true;
+    return U;
+  }();
+  C->applyUpstream(at(5), 100, First, &Leaving);
+  E.Machine.onCatalog(at(5), C);
+  // The request that waited there has moved on.
+  CHECK(E.Port.Asks.back().Upstream != First);
+  E.go(6);
+  REQUIRE(E.Port.Sends.size() == 1);
+  CHECK(E.Port.Sends[0].Terms.To.Id != First);
+}
+
+TEST_CASE("the route's timeout ends every request") {
+  struct TimeoutRow {
+    const char *Target;
+    bool Sent;
+    unsigned Status;
+  };
+  for (const TimeoutRow &R :
+       {TimeoutRow{"/once/x", true, 504}, TimeoutRow{"/stream/x", true, 504}}) {
+    CAPTURE(R.Target);
+    Entry E;
+    E.call(R.Target, 60000);
+    if (!E.Port.Asks.empty())
+      E.go(2);
+    E.Machine.onTimer(at(4990));
+    CHECK(E.Port.Ends == 0);
+    E.Machine.onTimer(at(5002));
+    CHECK(E.Port.Status == R.Status);
+    CHECK(E.Port.Cancelled == 1);
+    CHECK(E.Machine.callsInProgress() == 0);
+  }
+}
+
+TEST_CASE("a caller that leaves frees its upstream at once") {
+  Entry E;
+  E.call("/stream/x");
+  E.go(2);
+  const uint64_t Ask = E.Port.Asks.back().Ask.Id;
+  E.Machine.onCallerGone(at(5), 1);
+  CHECK(E.Port.Cancelled == 1);
+  CHECK(E.Port.EndedAsks.contains(Ask));
+  CHECK(E.Machine.callsInProgress() == 0);
+}
+
+TEST_CASE("own refusals before any decision") {
+  struct OwnRow {
+    const char *Target;
+    const char *Id;
+    unsigned Status;
+  };
+  for (const OwnRow &R :
+       {OwnRow{"/none/x", "r", 404}, OwnRow{"/once/x", "", 400}}) {
+    Entry E;
+    CallerCall C;
+    C.Host = "h";
+    C.Target = R.Target;
+    C.RequestId = R.Id;
+    E.Machine.onCall(at(1), 1, std::move(C));
+    CHECK(E.Port.Status == R.Status);
+  }
+  Recorder Port;
+  Forwarder Unconfigured(Forwarder::Options(), Port, 1);
+  Unconfigured.onCall(at(1), 1, CallerCall());
+  CHECK(Port.Status == 503);
+  CHECK(Port.RetryAfter > Duration(0));
+}
--- /dev/null
+++ b/forward/testing/parts_test.cc
@@ -0,0 +1,151 @@
+// The parts that a Forwarder decides with.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+#include "base/random.h"
+#include "forward/engine_board.h"
+#include "forward/event_splitter.h"
+#include "forward/retry_allowance.h"
+#include "forward/service_balancer.h"
+
+using namespace goldcrestlink;
+using namespace goldcrestlink::forward;
+
+namespace {
+Time at(int64_t Ms) { return Time(std::chrono::milliseconds(100000 + Ms)); }
+
+UpstreamRecord upstream(const std::string &Id, const char *DataCentre) {
+  UpstreamRecord U;
+  U.Id = Id;
+  U.DataCentre = DataCentre;
+  U.Slots = 6;
+  return U;
+}
+} // namespace
+
+TEST_CASE("second sends of all entries together stay within the bound") {
+  // Four entries with a fourth of the requests each; every request fails once.
+  constexpr size_t Entries = 4;
+  constexpr double Ratio = 0.2;
+  constexpr double Slack = 56;
+  std::vector<RetryAllowance> All(
+      Entries, RetryAllowance(
+                   RetryAllowance::Options().setRatio(Ratio).setSlack(Slack)));
+  std::vector<int64_t> Requests;
+  std::vector<int64_t> Retries;
+  for (int64_t Ms = 0; Ms < 40000; Ms += 5) {
+    RetryAllowance &A = All[static_cast<size_t>(Ms / 5) % Entries];
+    A.onRequest(at(Ms));
+    Requests.push_back(Ms);
+    if (A.take(at(Ms), Entries))
+      Retries.push_back(Ms);
+  }
+  CHECK(Retries.size() > 1000);
+  for (int64_t From = 0; From < 30000; From += 100) {
+    const auto Within = [&](const std::vector<int64_t> &List) {
+      return static_cast<double>(
+          std::count_if(List.begin(), List.end(), [&](int64_t Ms) {
+            return Ms >= From && Ms < From + 10000;
+          }));
+    };
+    CHECK(Within(Retries) <= Ratio * Within(Requests) + Slack);
+  }
+}
+
+TEST_CASE("streams are cut at event boundaries however bytes arrive") {
+  const std::string Text = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 10\nda";
+  for (size_t Size = 1; Size <= Text.size(); ++Size) {
+    EventSplitter S;
+    std::string Whole;
+    for (size_t At = 0; At < Text.size(); At += Size)
+      Whole += S.feed(std::string_view(Text).substr(At, Size));
+    CHECK(Whole == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    CHECK(S.lastId() == "2");
+    CHECK(S.takePartial() == "id: 10\nda");
+  }
+}
+
+TEST_CASE("an engine is chosen by when its first token is expected") {
+  const UpstreamRecord A = upstream("a", "here");
+  const UpstreamRecord B = upstream("b", "here");
+  const UpstreamRecord Far = upstream("far", "there");
+  const std::vector<const UpstreamRecord *> All = {&A, &B, &Far};
+  const EngineWant Want{"m", "x", 0, 400};
+  EngineBoard Board(EngineBoard::Options().setDataCentre("here"));
+  const auto Load = [](int64_t BacklogMs, bool Holds, bool Serving = true) {
+    EngineLoad L;
+    L.Serving = Serving;
+    L.Backlog.fill(std::chrono::milliseconds(BacklogMs));
+    if (Holds)
+      L.Held = {adapterHash("m", "x")};
+    return L;
+  };
+  struct Row {
+    const char *Name;
+    EngineLoad OfA, OfB, OfFar;
+    const char *First;
+  };
+  const Row Rows[] = {
+      {"the holder", Load(0, false), Load(0, true), Load(0, false), "b"},
+      {"the idle holder", Load(200, true), Load(0, true), Load(0, false), "b"},
+      {"the near holder", Load(0, true), Load(900, false), Load(0, true), "a"},
+      {"a far holder before a long wait", Load(900, true), Load(900, false),
+       Load(0, true), "far"},
+      {"none that does not serve", Load(0, true, false), Load(50, true),
+       Load(300, true), "b"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Board.onLoad(at(0), "a", R.OfA);
+    Board.onLoad(at(0), "b", R.OfB);
+    Board.onLoad(at(0), "far", R.OfFar);
+    const auto Ranked = Board.rank(at(0), Want, All);
+    REQUIRE_FALSE(Ranked.empty());
+    CHECK(Ranked.front().Upstream->Id == R.First);
+  }
+}
+
+TEST_CASE("a cold adapter returns to its home, a hot one gets more homes") {
+  EngineBoard Board(EngineBoard::Options().setDataCentre("here"));
+  std::vector<UpstreamRecord> Records;
+  for (int I = 0; I < 10; ++I)
+    Records.push_back(upstream("e" + std::to_string(I), "here"));
+  std::vector<const UpstreamRecord *> All;
+  for (const UpstreamRecord &U : Records)
+    All.push_back(&U);
+  const EngineWant Want{"m", "x", 0, 600};
+  const std::string Home = Board.rank(at(0), Want, All).front().Upstream->Id;
+  CHECK(Board.homes(at(0), Want) == 1);
+  Board.onDemand(at(0), Want);
+  CHECK(Board.rank(at(1), Want, All).front().Upstream->Id == Home);
+  for (int I = 0; I < 300; ++I)
+    Board.onDemand(at(I * 20), Want);
+  CHECK(Board.homes(at(6000), Want) >= 4);
+  // Demand that has gone leaves one home again.
+  CHECK(Board.homes(at(60000), Want) == 1);
+}
+
+TEST_CASE("plain calls go to the least loaded, within this entry's share") {
+  const UpstreamRecord A = upstream("a", "here");
+  const UpstreamRecord B = upstream("b", "here");
+  const std::vector<const UpstreamRecord *> Both = {&A, &B};
+  ServiceBalancer Balancer(ServiceBalancer::Options().setDataCentre("here"));
+  Balancer.setEntries(3);
+  size_t Sent = 0;
+  std::map<std::string, int> PerUpstream;
+  while (const UpstreamRecord *U = Balancer.choose(at(0), Both, {})) {
+    Balancer.onSent(U->Id);
+    ++PerUpstream[U->Id];
+    REQUIRE(++Sent < 100);
+  }
+  // 6 places, two and a half calls each, shared by three entries.
+  CHECK(Sent == 10);
+  CHECK(PerUpstream["a"] == PerUpstream["b"]);
+  Balancer.onEnded(at(1), "b", false);
+  CHECK(Balancer.choose(at(1), Both, {})->Id == "b");
+  CHECK(Balancer.choose(at(1), Both, {"b"}) == nullptr);
+  Balancer.onUnreachable(at(1), "b");
+  CHECK(Balancer.choose(at(2), Both, {}) == nullptr);
+  CHECK(Balancer.choose(at(5000), Both, {})->Id == "b");
+}
--- a/http/server.cc
+++ b/http/server.cc
@@ -220,6 +220,10 @@
     Ended = false;
     ++Owner->Active;
     Stream.expires_never();
+    // After a pause of this process the caller may have left long ago; nothing
+    // is to be started for it.
+    if (hasLeft())
+      return close();
     watchDeparture();
     Owner->OnRequest(std::move(Out), shared_from_this());
   }
@@ -233,6 +237,16 @@
               "\",\"outcome\":\"not_run\"}}");
   }
 
+  // True if the caller has closed its end of the connection.
+  bool hasLeft() {
+    ErrorCode Error;
+    char Byte;
+    Stream.socket().non_blocking(true, Error);
+    Stream.socket().receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek,
+                            Error);
+    return Error == asio::error::eof || Error == asio::error::connection_reset;
+  }
+
   // Readable with nothing available is end of stream. Pipelined bytes stay in
   // the kernel until the next readRequest.
   void watchDeparture() {
