Load what can still be in time first, in a window that follows congestion

Sides ordered four each, so that all loads took over a second; requests waited behind loads that could only be late; loads for adapters of high demand came last, so one engine ran 117 requests of the hottest adapter while others ran 3 to 8; refusals by a home sent requests on to engines that had to load the adapter as well.

Ruled out: grants that are never ended (granted 117, running 112 at that engine); memory of engines.

Change: LoadWindow (additive increase, multiplicative decrease by the time of own loads); prefetches for adapters of high demand first, then what can be in time, then the rest; a request for an adapter that nobody holds waits longer at its home and is not sent round; each running request adds to an engine's cost. Log lines are flushed at each drain, waits and refusals by sides are logged.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -25,6 +25,8 @@
 // it, a report tells nothing new.
 constexpr Duration FirstLoadCheck = std::chrono::milliseconds(24);
 constexpr Duration EndGrace = std::chrono::seconds(1);
+// A prefetch that has not begun by then is forgotten; entries ask again.
+constexpr Duration PrefetchTime = std::chrono::seconds(1);
 
 std::string nameOf(std::string_view Model, std::string_view Adapter) {
   std::string Out(Model);
@@ -112,8 +114,24 @@
                                 : Spec.Models.front().LoadTime;
   if (ready(N, A))
     return Wait;
-  const auto Ahead = static_cast<int64_t>(Queue.size() / Opts.maxIncoming());
-  return Wait + Opts.adapterLoadTime() * (1 + Ahead);
+  const auto Ahead =
+      static_cast<double>(loadsAhead(N, nameOf(A.Model, A.Adapter)));
+  return Wait + Duration(static_cast<int64_t>(
+                    static_cast<double>(Loads.loadTime().count()) *
+                    (1 + Ahead / Loads.size())));
+}
+
+// Adapters that will be loaded before this one.
+size_t SideAdmission::loadsAhead(const Time &N, const std::string &Name) const {
+  if (const auto It = Adapters.find(Name);
+      It != Adapters.end() && It->second.Incoming)
+    return 0;
+  std::set<std::string> Ahead;
+  for (const Waiting &W : Queue)
+    if (const std::string Other = nameOf(W.Ask.Model, W.Ask.Adapter);
+        Other != Name && !held(Other) && N < W.LoadBy)
+      Ahead.insert(Other);
+  return Ahead.size();
 }
 
 void SideAdmission::onAsk(const Time &N, AdmissionAsk A) {
@@ -121,20 +139,23 @@
     onRelease(N, {A.Model, A.Adapter, A.Version});
   if (A.Prefetch) {
     if (!ready(N, A) && Prefetches.size() < Opts.maxWaiting())
-      Prefetches.push_back({std::move(A), N, N + std::chrono::seconds(1)});
+      Prefetches.push_back(
+          {std::move(A), N, N + PrefetchTime, N + PrefetchTime});
     return placeOrder(N);
   }
   if (!Reachable)
-    return refuse(A, std::chrono::milliseconds(300), "engine_unreachable");
+    return refuse(A, std::chrono::milliseconds(300), true,
+                  "engine_unreachable");
   const bool Ready = ready(N, A);
   if (Ready && hasRoom(A) && Queue.empty())
     return grant(N, A);
   if (const std::string Name = nameOf(A.Model, A.Adapter);
       isOutdated(N, Name) && held(Name)->Pins > 0)
-    return refuse(A, Opts.replaceTime(), "replacing");
+    return refuse(A, Opts.replaceTime(), true, "replacing");
   const Duration Wait = expectedWait(N, A);
   if (Wait > A.Patience || Queue.size() >= Opts.maxWaiting())
-    return refuse(A, Wait, Ready ? "engine_full" : "load_too_late");
+    return refuse(A, Wait, Ready || !baseModel(A.Model),
+                  Ready ? "engine_full" : "load_too_late");
   AdmissionReply R;
   R.What = Verdict::Wait;
   R.Expected = Wait;
@@ -146,7 +167,8 @@
   // The patience is the entry's estimate of what still helps its caller; the
   // wait may run over it by as much again before it is given up.
   const Time Until = N + std::min(A.Patience * 2, A.TimeLeft);
-  Queue.insert(Where, {std::move(A), N, Until});
+  const Time LoadBy = N + A.ObjectiveLeft - Loads.loadTime();
+  Queue.insert(Where, {std::move(A), N, Until, LoadBy});
   serveQueue(N);
   placeOrder(N);
 }
@@ -177,8 +199,9 @@
 }
 
 void SideAdmission::refuse(const AdmissionAsk &A, Duration Again,
-                           std::string_view Reason) {
+                           bool TryElsewhere, std::string_view Reason) {
   AdmissionReply R;
+  R.TryElsewhere = TryElsewhere;
   R.What = Verdict::Refuse;
   R.Expected = Again;
   R.Reason = Reason;
@@ -243,6 +266,8 @@
       S = It->second;
     else
       S.LastUsed = N;
+    if (!Incoming && S.Incoming && S.Ordered != Time{})
+      Loads.onLoaded(N - S.Ordered);
     if (!Incoming)
       S.Version = A.Version;
     else if (const auto It = Next.find(Name); It != Next.end())
@@ -285,7 +310,7 @@
   Reachable = false;
   ReportedAt = N;
   for (const Waiting &W : Queue)
-    refuse(W.Ask, std::chrono::milliseconds(500), "engine_unreachable");
+    refuse(W.Ask, std::chrono::milliseconds(500), true, "engine_unreachable");
   Queue.clear();
   Prefetches.clear();
 }
@@ -312,7 +337,7 @@
     }
     const AdmissionAsk A = std::move(It->Ask);
     It = Queue.erase(It);
-    refuse(A, Opts.adapterLoadTime(), "waited_too_long");
+    refuse(A, expectedWait(N, A), ready(N, A), "waited_too_long");
   }
   std::vector<Key> Lost;
   for (const auto &[Id, G] : Grants)
@@ -347,12 +372,16 @@
   });
 }
 
-std::vector<const AdmissionAsk *> SideAdmission::wants() const {
+// Adapters of high demand come first, since many requests will use them; then
+// what can still be in time, by rank and arrival; then what is late anyway.
+std::vector<const AdmissionAsk *> SideAdmission::wants(const Time &N) const {
   std::vector<const AdmissionAsk *> Out;
-  for (const Waiting &W : Queue)
-    Out.push_back(&W.Ask);
   for (const Waiting &W : Prefetches)
     Out.push_back(&W.Ask);
+  for (const bool Late : {false, true})
+    for (const Waiting &W : Queue)
+      if ((N >= W.LoadBy) == Late)
+        Out.push_back(&W.Ask);
   return Out;
 }
 
@@ -372,7 +401,7 @@
     return;
   if (dropOutdated(N))
     return;
-  for (const AdmissionAsk *A : wants()) {
+  for (const AdmissionAsk *A : wants(N)) {
     const std::string Name = nameOf(A->Model, A->Adapter);
     if (A->Adapter.empty() || !baseModel(A->Model) || held(Name))
       continue;
@@ -416,7 +445,7 @@
   for (const IncomingAdapter &I : Report.Incoming)
     if (I.Model == Model && I.Adapter.Name == Adapter)
       return false;
-  if (incoming() >= Opts.maxIncoming())
+  if (incoming() >= Loads.size())
     return false;
   if (slotsUsed() >= Spec.AdapterSlots)
     return evictOne(N, Name);
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -20,6 +20,7 @@
 #include <vector>
 
 #include "admission/engine_report.h"
+#include "admission/load_window.h"
 #include "admission/prefill_model.h"
 #include "catalog/types.h"
 
@@ -41,6 +42,8 @@
   uint32_t OutputTokens = 0;
   /// How long the entry would wait for this side.
   Duration Patience{};
+  /// Until the first token is late; may be negative.
+  Duration ObjectiveLeft{};
   Duration TimeLeft{};
   /// Only have the adapter loaded; no request is sent.
   bool Prefetch = false;
@@ -57,6 +60,9 @@
   /// Go, Wait: expected time to the first token besides the request's own
   /// prompt. Refuse: when to ask again.
   Duration Expected{};
+  /// Refuse: another engine may serve the request sooner. False if what it
+  /// waits for, an adapter from the store, would take as long elsewhere.
+  bool TryElsewhere = true;
   /// For the log, in a word.
   std::string_view Reason;
 };
@@ -95,8 +101,7 @@
   class Options {
   public:
     size_t maxWaiting() const { return MaxWaiting; }
-    uint32_t maxIncoming() const { return MaxIncoming; }
-    Duration adapterLoadTime() const { return AdapterLoadTime; }
+    const LoadWindow::Options &loads() const { return Loads; }
     Duration orderTimeout() const { return OrderTimeout; }
     Duration baseLoadPause() const { return BaseLoadPause; }
     double memoryShare() const { return MemoryShare; }
@@ -112,10 +117,7 @@
 
   private:
     size_t MaxWaiting = 512;
-    // The engine accepts four adapters in transit at the same time.
-    uint32_t MaxIncoming = 4;
-    // An adapter from the weight store, by the deployments' sheets.
-    Duration AdapterLoadTime = std::chrono::milliseconds(260);
+    LoadWindow::Options Loads;
     // An order without an answer may be carried out up to 12 s later; after
     // this time another one with the same count settles which of them holds.
     Duration OrderTimeout = std::chrono::milliseconds(500);
@@ -134,7 +136,8 @@
     uint64_t SpreadSeed = 0;
   };
 
-  SideAdmission(Options O, SidePort &Port) : Opts(O), Port(Port) {}
+  SideAdmission(Options O, SidePort &Port)
+      : Opts(O), Port(Port), Loads(O.loads()) {}
 
   // Commands.
 
@@ -163,6 +166,10 @@
   Time reportDue(const Time &N) const;
   size_t waiting() const { return Queue.size(); }
   size_t granted() const { return Grants.size(); }
+  /// The engine's last report, with what later orders changed.
+  const EngineReport &report() const { return Report; }
+  /// Tokens of memory that granted requests are expected to need.
+  uint64_t grantedTokens() const { return TokensGranted; }
   uint64_t loadsOrdered() const { return LoadsOrdered; }
   uint64_t evictions() const { return Evictions; }
 
@@ -183,6 +190,8 @@
     AdmissionAsk Ask;
     Time Since;
     Time Until;
+    // Until then the adapter must be there for the first token to be in time.
+    Time LoadBy;
   };
 
   struct Release {
@@ -206,7 +215,8 @@
   bool isOutdated(const Time &N, const std::string &Name) const;
   bool hasRoom(const AdmissionAsk &A) const;
   void grant(const Time &N, const AdmissionAsk &A);
-  void refuse(const AdmissionAsk &A, Duration Again, std::string_view Reason);
+  void refuse(const AdmissionAsk &A, Duration Again, bool TryElsewhere,
+              std::string_view Reason);
   Duration expectedWait(const Time &N, const AdmissionAsk &A) const;
   void serveQueue(const Time &N);
   void expire(const Time &N);
@@ -222,7 +232,8 @@
   uint32_t slotsUsed() const;
   uint32_t incoming() const;
   bool neededByQueue(const std::string &Name) const;
-  std::vector<const AdmissionAsk *> wants() const;
+  std::vector<const AdmissionAsk *> wants(const Time &N) const;
+  size_t loadsAhead(const Time &N, const std::string &Name) const;
 
   Options Opts;
   SidePort &Port;
@@ -244,6 +255,7 @@
   Time NextBaseLoad{};
   Time NoOrderBefore{};
   PrefillModel Prefill;
+  LoadWindow Loads;
   uint64_t TokensGranted = 0;
   uint64_t LoadsOrdered = 0;
   uint64_t Evictions = 0;
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -22,6 +22,7 @@
   M.set_patience_us(static_cast<uint64_t>(A.Patience.count()));
   M.set_time_left_us(static_cast<uint64_t>(A.TimeLeft.count()));
   M.set_prefetch(A.Prefetch);
+  M.set_objective_left_us(A.ObjectiveLeft.count());
   return E;
 }
 
@@ -38,6 +39,7 @@
   A.Patience = Duration(static_cast<int64_t>(M.patience_us()));
   A.TimeLeft = Duration(static_cast<int64_t>(M.time_left_us()));
   A.Prefetch = M.prefetch();
+  A.ObjectiveLeft = Duration(M.objective_left_us());
   return A;
 }
 
@@ -50,6 +52,7 @@
                                           : wire::AdmissionReply::REFUSE);
   M.set_version(R.Version);
   M.set_expected_us(static_cast<uint64_t>(R.Expected.count()));
+  M.set_only_holders(!R.TryElsewhere);
   return E;
 }
 
@@ -60,6 +63,7 @@
                                                        : Verdict::Refuse;
   R.Version = M.version();
   R.Expected = Duration(static_cast<int64_t>(M.expected_us()));
+  R.TryElsewhere = !M.only_holders();
   return R;
 }
 
--- a/daemon/decision_log.cc
+++ b/daemon/decision_log.cc
@@ -3,6 +3,7 @@
 #include "daemon/decision_log.h"
 
 #include <algorithm>
+#include <cstdio>
 
 #include <glog/logging.h>
 
@@ -35,6 +36,8 @@
     Allowance -= 1;
     LOG(INFO) << Line;
   }
+  // A process that is killed loses what its buffer holds.
+  std::fflush(stdout);
   const uint64_t Total = Dropped;
   if (Total != DroppedReported && Allowance >= 1) {
     LOG(WARNING) << "dropped decision lines total=" << Total;
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -177,11 +177,19 @@
 
   void reply(const AdmissionAsk &To, const AdmissionReply &R) override {
     if (R.What == Verdict::Refuse)
-      Control.log("refuse ask=" + std::to_string(To.Id) +
-                  " adapter=" + To.Model + "/" + To.Adapter + " rank=" +
-                  std::to_string(To.Rank) + " reason=" + std::string(R.Reason) +
-                  " expected_ms=" + std::to_string(R.Expected.count() / 1000) +
-                  " patience_ms=" + std::to_string(To.Patience.count() / 1000));
+      Control.log(
+          "refuse ask=" + std::to_string(To.Id) + " adapter=" + To.Model + "/" +
+          To.Adapter + " rank=" + std::to_string(To.Rank) +
+          " reason=" + std::string(R.Reason) +
+          " expected_ms=" + std::to_string(R.Expected.count() / 1000) +
+          " patience_ms=" + std::to_string(To.Patience.count() / 1000) +
+          " granted=" + std::to_string(Admission.granted()) +
+          " granted_tokens=" + std::to_string(Admission.grantedTokens()) +
+          " waiting=" + std::to_string(Admission.waiting()) +
+          " running=" + std::to_string(Admission.report().Running) +
+          " starting=" + std::to_string(Admission.report().Waiting) +
+          " memory_used=" + std::to_string(Admission.report().MemoryUsed) +
+          " rate=" + std::to_string(Admission.load(now()).PrefillRate));
     wire::Envelope E = encodeReply(To.Id, R);
     if (!Entries.send(To.Peer, E))
       Control.log("reply outcome=entry_gone ask=" + std::to_string(To.Id));
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -176,6 +176,7 @@
     if (!C.Holds)
       C.Expected += C.IsHome ? Opts.homeLoadTime() : Opts.loadTime();
     C.Cost = C.Expected;
+    C.Cost += Opts.runningCost() * static_cast<int64_t>(V.Load.Running);
     if (!C.Holds && !C.IsHome)
       C.Cost += Opts.strayCopyCost();
     if (U->DataCentre != Opts.dataCentre())
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -56,6 +56,7 @@
     Duration homeLoadTime() const { return HomeLoadTime; }
     Duration distanceCost() const { return DistanceCost; }
     Duration strayCopyCost() const { return StrayCopyCost; }
+    Duration runningCost() const { return RunningCost; }
     Duration failureCost() const { return FailureCost; }
     double homeUtilisation() const { return HomeUtilisation; }
     Duration silencePause() const { return SilencePause; }
@@ -80,6 +81,8 @@
     Duration HomeLoadTime = std::chrono::milliseconds(120);
     // Bytes between data centres are dear; waits below this are alike.
     Duration DistanceCost = std::chrono::milliseconds(15);
+    // Each request that an engine runs slows down all others a little.
+    Duration RunningCost = std::chrono::milliseconds(3);
     // Charged in full for an upstream that fails everything.
     Duration FailureCost = std::chrono::seconds(2);
     // Share of an engine's prompt reading that one adapter may take before it
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -250,10 +250,13 @@
           A.Rank};
 }
 
-Duration Forwarder::patienceOf(Time N, const ActiveCall &A) const {
-  const auto Share = Duration(static_cast<int64_t>(
+Duration Forwarder::patienceOf(Time N, const ActiveCall &A,
+                               bool HeldSomewhere) const {
+  auto Wait = Duration(static_cast<int64_t>(
       static_cast<double>(A.Objective.count()) * Opts.patienceShare()));
-  return std::max(Duration(0), std::min(Share, (A.Deadline - N) / 2));
+  if (!HeldSomewhere)
+    Wait = std::max(Wait, Opts.loadPatience());
+  return std::max(Duration(0), std::min(Wait, (A.Deadline - N) / 2));
 }
 
 void Forwarder::placeEngine(Time N, ActiveCall &A) {
@@ -264,8 +267,11 @@
     return fail(N, A, EndReason::NoUpstream);
   if (A.Asks == 0)
     prefetchHomes(N, Want, Ranked);
+  const bool HeldSomewhere =
+      std::any_of(Ranked.begin(), Ranked.end(),
+                  [](const EngineCandidate &C) { return C.Holds; });
   for (const EngineCandidate &C : Ranked) {
-    if (A.Tried.contains(C.Upstream->Id))
+    if (A.Tried.contains(C.Upstream->Id) || (A.OnlyHolders && !C.Holds))
       continue;
     if (A.Asks >= Opts.maxAsks())
       break;
@@ -273,7 +279,7 @@
       A.Upstream = *C.Upstream;
       return sendTo(N, A, Want.Version);
     }
-    return askSide(N, A, C);
+    return askSide(N, A, C, HeldSomewhere);
   }
   fail(N, A, A.MayHaveRun ? EndReason::Broken : EndReason::Overloaded);
 }
@@ -301,7 +307,9 @@
   }
 }
 
-void Forwarder::askSide(Time N, ActiveCall &A, const EngineCandidate &C) {
+void Forwarder::askSide(Time N, ActiveCall &A, const EngineCandidate &C,
+                        bool HeldSomewhere) {
+  A.Patience = patienceOf(N, A, HeldSomewhere);
   A.Upstream = *C.Upstream;
   A.UpstreamHolds = C.Holds;
   A.AskId = NextAsk++;
@@ -318,7 +326,8 @@
   Ask.Rank = A.Rank;
   Ask.PromptTokens = A.Call.Ask.PromptTokens;
   Ask.OutputTokens = A.Call.Ask.MaxOutputTokens;
-  Ask.Patience = patienceOf(N, A);
+  Ask.Patience = A.Patience;
+  Ask.ObjectiveLeft = A.Arrived + A.Objective - N;
   Ask.TimeLeft = A.Deadline - N;
   Board.onSent(N, A.Upstream.Id, wantOf(A));
   Port.ask(A.Upstream, Ask);
@@ -354,14 +363,17 @@
     return sendTo(N, A, R.Version);
   case Verdict::Wait:
     A.At = Stage::Waiting;
+    Port.log("wait " + describe(A) + " ask=" + std::to_string(AskId) +
+             " expected_ms=" + std::to_string(R.Expected.count() / 1000));
     // The side gives up first; this covers a side that has died meanwhile.
-    A.StageUntil = N + patienceOf(N, A) * 2 + Opts.askTimeout();
+    A.StageUntil = N + A.Patience * 2 + Opts.askTimeout();
     schedule(A.StageUntil, A.Id);
     return;
   case Verdict::Refuse:
     CallOfAsk.erase(Found);
     A.AskId = 0;
     A.Tried.insert(A.Upstream.Id);
+    A.OnlyHolders |= !R.TryElsewhere;
     A.ComeBack = A.ComeBack == Duration(0) ? R.Expected
                                            : std::min(A.ComeBack, R.Expected);
     return placeEngine(N, A);
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -99,6 +99,7 @@
     Duration askTimeout() const { return AskTimeout; }
     uint32_t maxAsks() const { return MaxAsks; }
     double patienceShare() const { return PatienceShare; }
+    Duration loadPatience() const { return LoadPatience; }
     double queueShare() const { return QueueShare; }
     Duration defaultTimeLeft() const { return DefaultTimeLeft; }
     Options &setDataCentre(std::string Name) {
@@ -127,6 +128,9 @@
     uint32_t MaxAsks = 3;
     // Share of the route's objective that a request may wait at one side.
     double PatienceShare = 0.9;
+    // How long a request may wait for an adapter that no engine holds: it would
+    // take as long elsewhere, and a late answer is better than none.
+    Duration LoadPatience = std::chrono::milliseconds(2500);
     // Share of the objective that a call to a plain service may wait here.
     double QueueShare = 0.6;
     // For callers that do not say how long they wait.
@@ -182,6 +186,9 @@
     Time StageUntil{};
     uint32_t Asks = 0;
     Duration ComeBack{};
+    // A side said that no other engine would be quicker.
+    bool OnlyHolders = false;
+    Duration Patience{};
     uint32_t Sends = 0;
     // Some send may have run the request.
     bool MayHaveRun = false;
@@ -218,8 +225,9 @@
   void placeEngine(Time N, ActiveCall &A);
   void prefetchHomes(Time N, const EngineWant &Want,
                      std::span<const EngineCandidate> Ranked);
-  Duration patienceOf(Time N, const ActiveCall &A) const;
-  void askSide(Time N, ActiveCall &A, const EngineCandidate &C);
+  Duration patienceOf(Time N, const ActiveCall &A, bool HeldSomewhere) const;
+  void askSide(Time N, ActiveCall &A, const EngineCandidate &C,
+               bool HeldSomewhere);
   void leaveSide(Time N, ActiveCall &A);
 
   // Sends and their ends.
