Reset connections of calls that are given up; late loads get a turn

Ruled out: a late notice of the caller's departure (the entry's log has it within 0.1 s).

Change: calls that are cancelled or broken are reset, which drops what was not delivered. Each fourth load goes to requests that are late already, which starved before. The first log lines after a start are no longer dropped. Tests of the HTTP client and server against peers that misbehave.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -24,6 +24,8 @@
 // An adapter that the engine held recently comes back within this time; before
 // it, a report tells nothing new.
 constexpr Duration FirstLoadCheck = std::chrono::milliseconds(24);
+// See wants().
+constexpr uint64_t LateTurn = 4;
 constexpr Duration EndGrace = std::chrono::seconds(1);
 // A prefetch that has not begun by then is forgotten; entries ask again.
 constexpr Duration PrefetchTime = std::chrono::seconds(1);
@@ -374,11 +376,13 @@
 
 // Adapters of high demand come first, since many requests will use them; then
 // what can still be in time, by rank and arrival; then what is late anyway.
+// Each LateTurn-th load goes to what is late, so that it does not starve.
 std::vector<const AdmissionAsk *> SideAdmission::wants(const Time &N) const {
   std::vector<const AdmissionAsk *> Out;
   for (const Waiting &W : Prefetches)
     Out.push_back(&W.Ask);
-  for (const bool Late : {false, true})
+  const bool LateFirst = LoadsOrdered % LateTurn == LateTurn - 1;
+  for (const bool Late : {LateFirst, !LateFirst})
     for (const Waiting &W : Queue)
       if ((N >= W.LoadBy) == Late)
         Out.push_back(&W.Ask);
--- a/daemon/decision_log.cc
+++ b/daemon/decision_log.cc
@@ -14,7 +14,7 @@
 } // namespace
 
 DecisionLog::DecisionLog(int64_t LinesPerSecond)
-    : Rate(static_cast<double>(LinesPerSecond)) {
+    : Rate(static_cast<double>(LinesPerSecond)), Allowance(Rate) {
   Lines.set_capacity(QueueLines);
 }
 
--- a/daemon/decision_log.h
+++ b/daemon/decision_log.h
@@ -32,7 +32,7 @@
   std::atomic<uint64_t> Dropped{0};
   uint64_t DroppedReported = 0;
   double Rate;
-  double Allowance = 0;
+  double Allowance;
   Time Updated{};
 };
 
--- a/http/client.cc
+++ b/http/client.cc
@@ -152,7 +152,7 @@
     if (Over)
       return;
     Over = true;
-    closeSocket();
+    resetSocket();
   }
 
 private:
@@ -279,11 +279,19 @@
 
   void fail(CallError Kind, ErrorCode Error) {
     Over = true;
-    closeSocket();
+    resetSocket();
     if (On.OnError)
       On.OnError(Kind, Error.message());
   }
 
+  // A call that is given up must not reach its peer later: an orderly close
+  // would leave bytes that a cut link holds up to be delivered after it heals.
+  void resetSocket() {
+    ErrorCode Ignored;
+    Stream->socket().set_option(asio::socket_base::linger(true, 0), Ignored);
+    Stream->socket().close(Ignored);
+  }
+
   void closeSocket() {
     ErrorCode Ignored;
     Stream->socket().shutdown(Tcp::socket::shutdown_both, Ignored);
--- /dev/null
+++ b/http/testing/http_test.cc
@@ -0,0 +1,254 @@
+// The HTTP client and server against plain sockets that misbehave.
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/client.h"
+#include "http/server.h"
+
+using namespace goldcrestlink;
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+namespace {
+
+// A peer on a thread of its own that serves one connection by a script.
+class Peer {
+public:
+  explicit Peer(std::function<void(Tcp::socket &)> Script)
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
+        Thread([this, Script = std::move(Script)] {
+          Tcp::socket Socket(Io);
+          boost::system::error_code Error;
+          Acceptor.accept(Socket, Error);
+          if (!Error)
+            Script(Socket);
+        }) {}
+  ~Peer() { Thread.join(); }
+  http::Endpoint endpoint() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+private:
+  asio::io_context Io;
+  Tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+void readHead(Tcp::socket &Socket) {
+  asio::streambuf Buffer;
+  boost::system::error_code Error;
+  asio::read_until(Socket, Buffer, "\r\n\r\n", Error);
+}
+
+void writeText(Tcp::socket &Socket, std::string_view Text) {
+  boost::system::error_code Error;
+  asio::write(Socket, asio::buffer(Text), Error);
+}
+
+// What a call to a peer that writes \p Answer and then closes ends with.
+std::string outcomeOf(std::string Answer) {
+  Peer P([&](Tcp::socket &Socket) {
+    readHead(Socket);
+    writeText(Socket, Answer);
+
+    Socket.close();
+  });
+  asio::io_context Io;
+  http::Client Client(Io);
+  std::string Out = "none";
+  Client.fetch(P.endpoint(), http::Request(), http::CallOptions(),
+               [&](const http::Response *R, http::CallError) {
+                 Out = R ? std::to_string(R->Head.Status) + ":" + R->Body
+                         : "broken";
+               });
+  Io.run();
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("an answer counts as whole only if it is") {
+  struct Row {
+    const char *Answer;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", "200:ab"},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", "broken"},
+      {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nab", "200:ab"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "2\r\nab\r\n0\r\n\r\n",
+       "200:ab"},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+       "broken"},
+      {"HTTP/1.1 200", "broken"},
+      {"nonsense\r\n\r\n", "broken"},
+      {"", "broken"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Answer);
+    CHECK(outcomeOf(R.Answer) == R.Expected);
+  }
+}
+
+TEST_CASE("a call that is given up resets its connection") {
+  boost::system::error_code Seen;
+  http::Client *Started = nullptr;
+  asio::io_context Io;
+  std::shared_ptr<http::Call> Call;
+  {
+    Peer P([&](Tcp::socket &Socket) {
+      readHead(Socket);
+      asio::post(Io, [&] { Call->cancel(); });
+      char Byte;
+      Socket.read_some(asio::buffer(&Byte, 1), Seen);
+    });
+    http::Client Client(Io);
+    Started = &Client;
+    http::CallHandlers On;
+    On.OnDone = [] { FAIL("a cancelled call ended"); };
+    On.OnError = [](http::CallError, const std::string &) {
+      FAIL("a cancelled call ended");
+    };
+    auto Guard = asio::make_work_guard(Io);
+    Call = Started->start(P.endpoint(), http::Request(), http::CallOptions(),
+                          std::move(On));
+    while (!Seen && Io.run_one_for(std::chrono::seconds(10)) > 0) {
+    }
+  }
+  CHECK(Seen == asio::error::connection_reset);
+}
+
+TEST_CASE("an answer that comes before a long body is read is taken") {
+  Peer P([&](Tcp::socket &Socket) {
+    readHead(Socket);
+    writeText(Socket, "HTTP/1.1 413 Too Large\r\nContent-Length: 2\r\n\r\nno");
+    char Byte;
+    boost::system::error_code Error;
+    // Until the client has closed; it must not reuse the connection.
+    while (!Error)
+      Socket.read_some(asio::buffer(&Byte, 1), Error);
+  });
+  asio::io_context Io;
+  http::Client Client(Io);
+  http::Request Long;
+  Long.Method = "POST";
+  Long.Body.assign(64 * 1024 * 1024, 'x');
+  unsigned Status = 0;
+  Client.fetch(P.endpoint(), std::move(Long), http::CallOptions(),
+               [&](const http::Response *R, http::CallError) {
+                 Status = R ? R->Head.Status : 0;
+               });
+  Io.run();
+  CHECK(Status == 413);
+}
+
+namespace {
+
+// Sends raw text to a server with the given limits; returns all it answers.
+std::string answerTo(const std::string &Text, http::ServerOptions Limits,
+                     int &Served) {
+  asio::io_context Io;
+  http::Server Server(Io, {"127.0.0.1", 0}, Limits,
+                      [&](http::Request R, std::shared_ptr<http::Responder> A) {
+                        ++Served;
+                        A->whole(200, {},
+                                 R.Method + " " + R.Target + " " + R.Body);
+                      });
+  std::string Out;
+  std::thread Caller([&] {
+    asio::io_context Own;
+    Tcp::socket Socket(Own);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Server.port()});
+    writeText(Socket, Text);
+    boost::system::error_code Error;
+    char Part[4096];
+    while (!Error) {
+      const size_t N = Socket.read_some(asio::buffer(Part), Error);
+      Out.append(Part, N);
+    }
+    asio::post(Io, [&] { Io.stop(); });
+  });
+  Io.run();
+  Caller.join();
+  return Out;
+}
+
+} // namespace
+
+TEST_CASE("requests whose length is in doubt are refused and end the "
+          "connection") {
+  struct Row {
+    const char *Text;
+    int Served;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+       "Connection: close\r\n\r\nab",
+       1, "200"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+       "Content-Length: 3\r\n\r\nabc",
+       0, "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n",
+       0, "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n"
+       "GET /b HTTP/1.1\r\n\r\n",
+       0, "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, gzip\r\n"
+       "\r\n0\r\n\r\n",
+       0, "400"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n", 0, "400"},
+      {"garbage\r\n\r\n", 0, "400"},
+      {"GET /a HTTP/1.1\r\nHost: h\r\nX: "
+       "0123456789012345678901234567890123456789012345678901234567890123456789"
+       "0123456789012345678901234567890123456789012345678901234567890123456789"
+       "\r\n\r\n",
+       0, "431"},
+      {"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 900\r\n\r\n", 0, "413"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Text);
+    int Served = 0;
+    const std::string Out = answerTo(
+        R.Text,
+        http::ServerOptions().setMaxHeaderBytes(150).setMaxBodyBytes(100),
+        Served);
+    CHECK(Served == R.Served);
+    CHECK(Out.substr(9, 3) == R.Expected);
+  }
+}
+
+TEST_CASE("nothing is started for a caller that has left before it is read") {
+  asio::io_context Io;
+  int Served = 0;
+  http::Server Server(
+      Io, {"127.0.0.1", 0}, http::ServerOptions(),
+      [&](http::Request, std::shared_ptr<http::Responder>) { ++Served; });
+  {
+    // The server is paused meanwhile: its context does not run.
+    asio::io_context Own;
+    Tcp::socket Socket(Own);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Server.port()});
+    writeText(Socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    Socket.shutdown(Tcp::socket::shutdown_send);
+    // The server's close tells that it has dealt with the connection.
+    std::thread Runner([&] { Io.run(); });
+    char Byte;
+    boost::system::error_code Error;
+    Socket.read_some(asio::buffer(&Byte, 1), Error);
+    CHECK(Error);
+    Io.stop();
+    Runner.join();
+  }
+  CHECK(Served == 0);
+}
