Charge engines for the share of their time that prompts take

Prompts sent to the busiest engines took 0.8 to 1.25 of their time while the median engine's took 0.42, so streams there got a few tokens a second; the wait for the next prompt, on which the choice went, shows none of that.

Ruled out: streams too long for their deadline (278 tokens take 2.6 s on an idle engine).

Change: sides report utilisation, entries charge its square; an adapter gets a further home for each 0.3 of an engine's rate (0.5 before).

--- a/admission/prefill_model.cc
+++ b/admission/prefill_model.cc
@@ -6,11 +6,14 @@
 #include "admission/prefill_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace goldcrestlink {
 
 namespace {
 constexpr double InitialRate = 20;
+// Time constant over which utilisation is averaged.
+constexpr double UtilisationSeconds = 2;
 constexpr double MinRate = 4;
 constexpr double MaxRate = 400;
 // Each answer outweighs the older ones by this much; about 100 count.
@@ -46,6 +49,14 @@
   Pending = pendingAt(N);
   UpdatedAt = N;
   Pending[backlogRow(Rank)] += static_cast<double>(Tokens);
+  GivenRate = utilisation(N) * Rate +
+              static_cast<double>(Tokens) / (UtilisationSeconds * 1e3);
+  GivenAt = N;
+}
+
+double PrefillModel::utilisation(Time N) const {
+  return GivenRate * std::exp(-seconds(N - GivenAt) / UtilisationSeconds) /
+         Rate;
 }
 
 void PrefillModel::clear(Time N) {
--- a/admission/prefill_model.h
+++ b/admission/prefill_model.h
@@ -49,12 +49,18 @@
   Backlogs backlogs(Time N) const;
   /// Prompt tokens read per millisecond.
   double rate() const { return Rate; }
+  /// Share of the engine's time that prompts given to it lately take; above 1
+  /// if they come faster than it reads. What remains goes to generation.
+  double utilisation(Time N) const;
 
 private:
   std::array<double, BacklogRanks> pendingAt(Time N) const;
 
   std::array<double, BacklogRanks> Pending{};
   Time UpdatedAt{};
+  // Tokens per millisecond given lately, decaying, and as of when.
+  double GivenRate = 0;
+  Time GivenAt{};
   double Rate;
   // Weighted sums of the regression of delay on tokens.
   double SumW = 0, SumX = 0, SumY = 0, SumXX = 0, SumXY = 0;
--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -567,6 +567,7 @@
   Out.Serving = Reachable && !Report.Models.empty();
   Out.Backlog = Prefill.backlogs(N);
   Out.PrefillRate = Prefill.rate();
+  Out.Utilisation = Prefill.utilisation(N);
   Out.Running = static_cast<uint32_t>(Grants.size());
   Out.MemoryFree =
       Spec.MemoryTokens - std::min(Spec.MemoryTokens, TokensGranted);
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -75,6 +75,8 @@
   Backlogs Backlog{};
   /// Prompt tokens read per millisecond.
   double PrefillRate = 20;
+  /// Share of the engine's time that reading prompts takes.
+  double Utilisation = 0;
   uint32_t Running = 0;
   uint64_t MemoryFree = 0;
   /// Adapters that requests can use at once, by adapterHash().
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -83,6 +83,7 @@
   for (const Duration D : L.Backlog)
     M.add_backlog_us(static_cast<uint64_t>(D.count()));
   M.set_prefill_tokens_per_s(static_cast<uint32_t>(L.PrefillRate * 1000));
+  M.set_utilisation_percent(static_cast<uint32_t>(L.Utilisation * 100));
   M.set_running(L.Running);
   M.set_memory_free(L.MemoryFree);
   for (const uint32_t Hash : L.Held)
@@ -100,6 +101,7 @@
       L.Backlog[Row] =
           Duration(static_cast<int64_t>(M.backlog_us(static_cast<int>(Row))));
   L.PrefillRate = std::max(MinPrefillRate, M.prefill_tokens_per_s() / 1000.0);
+  L.Utilisation = M.utilisation_percent() / 100.0;
   L.Running = M.running();
   L.MemoryFree = M.memory_free();
   L.Held.assign(M.held().begin(), M.held().end());
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -176,6 +176,9 @@
     if (!C.Holds)
       C.Expected += C.IsHome ? Opts.homeLoadTime() : Opts.loadTime();
     C.Cost = C.Expected;
+    C.Cost += Duration(static_cast<int64_t>(
+        V.Load.Utilisation * V.Load.Utilisation *
+        static_cast<double>(Opts.utilisationCost().count())));
     C.Cost += Opts.runningCost() * static_cast<int64_t>(V.Load.Running);
     if (!C.Holds && !C.IsHome)
       C.Cost += Opts.strayCopyCost();
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -57,6 +57,7 @@
     Duration distanceCost() const { return DistanceCost; }
     Duration strayCopyCost() const { return StrayCopyCost; }
     Duration runningCost() const { return RunningCost; }
+    Duration utilisationCost() const { return UtilisationCost; }
     Duration failureCost() const { return FailureCost; }
     double homeUtilisation() const { return HomeUtilisation; }
     Duration silencePause() const { return SilencePause; }
@@ -83,11 +84,14 @@
     Duration DistanceCost = std::chrono::milliseconds(15);
     // Each request that an engine runs slows down all others a little.
     Duration RunningCost = std::chrono::milliseconds(3);
+    // Charged, by the square of its utilisation, for an engine whose time goes
+    // into reading prompts: all streams that it runs slow down.
+    Duration UtilisationCost = std::chrono::milliseconds(500);
     // Charged in full for an upstream that fails everything.
     Duration FailureCost = std::chrono::seconds(2);
     // Share of an engine's prompt reading that one adapter may take before it
     // gets a further home.
-    double HomeUtilisation = 0.5;
+    double HomeUtilisation = 0.3;
     // A side or engine that did not answer is left alone this long.
     Duration SilencePause = std::chrono::milliseconds(700);
   };
