--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -30,6 +30,11 @@
 // A prefetch that has not begun by then is forgotten; entries ask again.
 constexpr Duration PrefetchTime = std::chrono::seconds(1);
 
+// Of its most output tokens, a request uses about half.
+uint64_t expectedTokens(const AdmissionAsk &A) {
+  return A.PromptTokens + A.OutputTokens / 2;
+}
+
 std::string nameOf(std::string_view Model, std::string_view Adapter) {
   std::string Out(Model);
   Out.push_back('/');
@@ -104,8 +109,7 @@
   const double Room =
       static_cast<double>(Spec.MemoryTokens) * Opts.memoryShare();
   return Grants.empty() || Spec.MemoryTokens == 0 ||
-         static_cast<double>(TokensGranted + A.PromptTokens +
-                             A.OutputTokens / 2) <= Room;
+         static_cast<double>(TokensGranted + expectedTokens(A)) <= Room;
 }
 
 Duration SideAdmission::expectedWait(const Time &N,
@@ -188,7 +192,7 @@
     S.LastUsed = N;
     R.Version = S.Version;
   }
-  G.Tokens = A.PromptTokens + A.OutputTokens / 2;
+  G.Tokens = expectedTokens(A);
   G.Prompt = A.PromptTokens;
   G.Granted = N;
   G.Expires = N + A.TimeLeft + EndGrace;
@@ -283,12 +287,9 @@
   for (const IncomingAdapter &I : R.Incoming)
     Note(I.Model, I.Adapter, true);
   Adapters = std::move(Next);
-  if (Open && OpenAnswered) {
+  // Settled by its answer, or since this order or a later one was accepted.
+  if (Open && (OpenAnswered || R.OrderCount > Open->ExpectedCount))
     Open.reset();
-  } else if (Open && R.OrderCount > Open->ExpectedCount) {
-    // Either this order or a later one has been accepted; it is settled.
-    Open.reset();
-  }
   if (R.Running + R.Waiting == 0)
     std::erase_if(Grants, [&](const auto &Item) {
       if (N - Item.second.Granted < LostGrantAge)
--- a/daemon/forward_metrics.cc
+++ b/daemon/forward_metrics.cc
@@ -27,15 +27,18 @@
 
   void print(std::string &Out, const std::string &Name,
              const std::string &Labels) const {
-    for (size_t I = 0; I < BucketSeconds.size(); ++I)
-      Out += Name + "_bucket{" + Labels + ",le=\"" +
-             std::to_string(BucketSeconds[I]) + "\"} " +
-             std::to_string(AtMost[I]) + "\n";
+    for (size_t I = 0; I < BucketSeconds.size(); ++I) {
+      Out += Name;
+      Out += "_bucket{" + Labels + ",le=\"" + std::to_string(BucketSeconds[I]) +
+             "\"} " + std::to_string(AtMost[I]) + "\n";
+    }
     const std::string Count = std::to_string(acc::count(Moments));
-    Out += Name + "_bucket{" + Labels + ",le=\"+Inf\"} " + Count + "\n";
-    Out += Name + "_sum{" + Labels + "} " + std::to_string(acc::sum(Moments)) +
-           "\n";
-    Out += Name + "_count{" + Labels + "} " + Count + "\n";
+    Out += Name;
+    Out += "_bucket{" + Labels + ",le=\"+Inf\"} " + Count + "\n";
+    Out += Name;
+    Out += "_sum{" + Labels + "} " + std::to_string(acc::sum(Moments)) + "\n";
+    Out += Name;
+    Out += "_count{" + Labels + "} " + Count + "\n";
   }
 
 private:
