One class for an upstream's health; sides and entries tick less when idle

Change: a side steps each 10 ms while something is awaited and each 50 ms otherwise; an entry each 10 ms (5 before). UpstreamHealth serves both.

--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -25,7 +25,7 @@
 namespace goldcrestlink {
 
 namespace {
-constexpr Duration TickInterval = std::chrono::milliseconds(5);
+constexpr Duration TickInterval = std::chrono::milliseconds(10);
 // A link on which an ask was not answered is opened anew, at most this often.
 constexpr Duration LinkResetPause = std::chrono::milliseconds(500);
 // Bounds the wait for a connection to an upstream; one network delay is a few
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -29,7 +29,9 @@
 
 namespace {
 
-constexpr Duration TickInterval = std::chrono::milliseconds(10);
+// Steps while something is awaited of the engine or by entries, and otherwise.
+constexpr Duration BusyTick = std::chrono::milliseconds(10);
+constexpr Duration IdleTick = std::chrono::milliseconds(50);
 // The engine is on the same instance.
 constexpr Duration ReportTimeout = std::chrono::milliseconds(400);
 constexpr Duration OrderAnswerTimeout = std::chrono::milliseconds(400);
@@ -104,6 +106,7 @@
     if (New)
       sendLoad(Peer, Admission.load(N));
     askReport(N);
+    hurryTick();
   }
 
   // Traffic thread: what is known of the deployment.
@@ -228,13 +231,28 @@
     Admission.onTimer(N);
     askReport(N);
     shareLoad(N);
-    Tick.expires_after(TickInterval);
+    armTick();
+  }
+
+  bool isBusy() const {
+    return Admission.awaitsReport() || Admission.waiting() > 0;
+  }
+
+  void armTick() {
+    TickIsBusy = isBusy();
+    Tick.expires_after(TickIsBusy ? BusyTick : IdleTick);
     Tick.async_wait([this](boost::system::error_code Error) {
       if (!Error)
         tick();
     });
   }
 
+  // Called after events that may begin a busy time.
+  void hurryTick() {
+    if (!TickIsBusy && isBusy())
+      armTick();
+  }
+
   void askReport(Time N) {
     if (ReportOpen || N < Admission.reportDue(N))
       return;
@@ -339,6 +357,7 @@
   uint64_t StartedMs = 0;
   uint64_t Orders = 0;
   unsigned Misses = 0;
+  bool TickIsBusy = false;
   bool ReportOpen = false;
   bool IdentityOpen = false;
 };
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -13,15 +13,11 @@
 namespace goldcrestlink::forward {
 
 namespace {
-// Time constants over which demand and failures are averaged.
+// Time constant over which demand is averaged.
 constexpr double DemandSeconds = 5.0;
 // One large prompt is no sign of lasting demand.
 constexpr uint32_t MaxDemandTokens = 1500;
-constexpr double FailureSeconds = 3.0;
-// Weight of one outcome in the share of failures.
-constexpr double OutcomeWeight = 0.2;
 constexpr double DefaultPrefillRate = 20;
-constexpr unsigned MaxBackoffDoublings = 3;
 
 std::string nameOf(const EngineWant &W) { return W.Model + "/" + W.Adapter; }
 
@@ -73,18 +69,7 @@
 }
 
 void EngineBoard::onOutcome(Time N, const std::string &Id, bool Failed) {
-  View &V = Views[Id];
-  V.Failures =
-      failureShare(N, V) * (1 - OutcomeWeight) + (Failed ? OutcomeWeight : 0);
-  V.FailuresAt = N;
-  if (!Failed) {
-    V.UnreachableCount = 0;
-    V.UnreachableUntil = Time{};
-  }
-}
-
-double EngineBoard::failureShare(Time N, const View &V) const {
-  return V.Failures * decay(N - V.FailuresAt, FailureSeconds);
+  Views[Id].Health.onOutcome(N, Failed);
 }
 
 void EngineBoard::onSideSilent(Time N, const std::string &Id) {
@@ -96,14 +81,11 @@
 }
 
 void EngineBoard::onUnreachable(Time N, const std::string &Id) {
-  View &V = Views[Id];
-  const unsigned Doublings = std::min(V.UnreachableCount, MaxBackoffDoublings);
-  V.UnreachableUntil = N + Opts.silencePause() * (1 << Doublings);
-  ++V.UnreachableCount;
+  Views[Id].Health.onUnreachable(N, Opts.silencePause());
 }
 
 void EngineBoard::onReplaced(const std::string &Id) {
-  Views[Id].Replaced = true;
+  Views[Id].Health.onReplaced();
 }
 
 void EngineBoard::retain(const std::map<std::string, UpstreamRecord> &Known) {
@@ -157,9 +139,8 @@
   for (const auto &[Score, U] : Order) {
     const auto It = Views.find(U->Id);
     const View &V = It == Views.end() ? Unknown : It->second;
-    if (V.Replaced || N < V.UnreachableUntil || (V.Known && !V.Load.Serving)) {
+    if (!V.Health.usable(N) || (V.Known && !V.Load.Serving))
       continue;
-    }
     EngineCandidate C;
     C.Upstream = U;
     C.IsHome = Position < Homes;
@@ -184,8 +165,9 @@
       C.Cost += Opts.strayCopyCost();
     if (U->DataCentre != Opts.dataCentre())
       C.Cost += Opts.distanceCost();
-    C.Cost += Duration(static_cast<int64_t>(
-        failureShare(N, V) * static_cast<double>(Opts.failureCost().count())));
+    C.Cost += Duration(
+        static_cast<int64_t>(V.Health.failureShare(N) *
+                             static_cast<double>(Opts.failureCost().count())));
     Out.push_back(C);
   }
   std::stable_sort(Out.begin(), Out.end(),
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -18,6 +18,7 @@
 
 #include "admission/side_admission.h"
 #include "catalog/types.h"
+#include "forward/upstream_health.h"
 
 namespace goldcrestlink::forward {
 
@@ -139,12 +140,8 @@
     // By rank, when the prompts known to stand at the engine will have been
     // read.
     std::array<Time, BacklogRanks> Free{};
-    double Failures = 0;
-    Time FailuresAt{};
+    UpstreamHealth Health;
     Time SilentUntil{};
-    Time UnreachableUntil{};
-    unsigned UnreachableCount = 0;
-    bool Replaced = false;
   };
   struct Demand {
     // Prompt tokens per second at this entry.
@@ -152,7 +149,6 @@
     Time At{};
   };
 
-  double failureShare(Time N, const View &V) const;
   double tokenRate(Time N, const std::string &Name) const;
   double meanPrefillRate() const;
 
--- a/forward/service_balancer.cc
+++ b/forward/service_balancer.cc
@@ -3,44 +3,24 @@
 #include "forward/service_balancer.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace goldcrestlink::forward {
 
-namespace {
-constexpr double FailureSeconds = 3.0;
-constexpr double OutcomeWeight = 0.2;
-constexpr unsigned MaxBackoffDoublings = 3;
-
-double aged(double Share, Duration Age) {
-  return Share * std::exp(-seconds(Age) / FailureSeconds);
-}
-} // namespace
-
 void ServiceBalancer::onSent(const std::string &Id) { ++Views[Id].Outstanding; }
 
 void ServiceBalancer::onEnded(Time N, const std::string &Id, bool Failed) {
   View &V = Views[Id];
   if (V.Outstanding > 0)
     --V.Outstanding;
-  V.Failures = aged(V.Failures, N - V.FailuresAt) * (1 - OutcomeWeight) +
-               (Failed ? OutcomeWeight : 0);
-  V.FailuresAt = N;
-  if (!Failed) {
-    V.Pauses = 0;
-    V.PausedUntil = Time{};
-  }
+  V.Health.onOutcome(N, Failed);
 }
 
 void ServiceBalancer::onUnreachable(Time N, const std::string &Id) {
-  View &V = Views[Id];
-  V.PausedUntil =
-      N + Opts.failurePause() * (1 << std::min(V.Pauses, MaxBackoffDoublings));
-  ++V.Pauses;
+  Views[Id].Health.onUnreachable(N, Opts.failurePause());
 }
 
 void ServiceBalancer::onReplaced(const std::string &Id) {
-  Views[Id].Replaced = true;
+  Views[Id].Health.onReplaced();
 }
 
 void ServiceBalancer::setEntries(size_t Count) {
@@ -65,11 +45,10 @@
     const View &V = It == Views.end() ? Unknown : It->second;
     const double Share = std::max(1.0, U->Slots * Opts.queueFactor() /
                                            static_cast<double>(Entries));
-    if (V.Replaced || N < V.PausedUntil || V.Outstanding >= Share ||
+    if (!V.Health.usable(N) || V.Outstanding >= Share ||
         Excluded.contains(U->Id))
       continue;
-    double Cost =
-        V.Outstanding + Opts.failureCost() * aged(V.Failures, N - V.FailuresAt);
+    double Cost = V.Outstanding + Opts.failureCost() * V.Health.failureShare(N);
     if (U->DataCentre != Opts.dataCentre())
       Cost += Opts.distanceCost();
     if (!Best || Cost < BestCost) {
--- a/forward/service_balancer.h
+++ b/forward/service_balancer.h
@@ -15,6 +15,7 @@
 #include <unordered_map>
 
 #include "catalog/types.h"
+#include "forward/upstream_health.h"
 
 namespace goldcrestlink::forward {
 
@@ -68,11 +69,7 @@
 private:
   struct View {
     uint32_t Outstanding = 0;
-    double Failures = 0;
-    Time FailuresAt{};
-    Time PausedUntil{};
-    unsigned Pauses = 0;
-    bool Replaced = false;
+    UpstreamHealth Health;
   };
 
   Options Opts;
