Close a caller's connection when the answer that outlasted the stop has ended

Ruled out: the exit too early (the request came after the entry had stopped to accept).

Change: once a server has stopped accepting, a connection ends with the answer in progress. The new case of http_test fails without it (the second request is served) and passes with it.

--- a/http/server.cc
+++ b/http/server.cc
@@ -295,7 +295,8 @@
       return;
     Gone = nullptr;
     finishRequest();
-    if (!KeepAlive)
+    // An answer that began before the stop has not announced the close.
+    if (!KeepAlive || Owner->Stopping)
       return close();
     readRequest();
   }
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -228,6 +228,47 @@
   }
 }
 
+TEST_CASE(
+    "after a stop, a connection ends with the answer that is on its way") {
+  asio::io_context Io;
+  int Served = 0;
+  std::shared_ptr<http::Responder> Running;
+  http::Server Server(Io, {"127.0.0.1", 0}, http::ServerOptions(),
+                      [&](http::Request, std::shared_ptr<http::Responder> A) {
+                        ++Served;
+                        A->begin(200, {});
+                        A->data("first");
+                        Running = std::move(A);
+                      });
+  std::string Seen;
+  std::thread Caller([&] {
+    asio::io_context Own;
+    Tcp::socket Socket(Own);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Server.port()});
+    writeText(Socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    asio::streambuf Buffer;
+    asio::read_until(Socket, Buffer, "first\r\n");
+    asio::post(Io, [&] {
+      Server.announceClose();
+      Server.stopAccepting();
+      Running->data("last");
+      Running->end();
+    });
+    asio::read_until(Socket, Buffer, "0\r\n\r\n");
+    // The caller goes on using its open connection.
+    writeText(Socket, "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+    boost::system::error_code Error;
+    char Byte;
+    Socket.read_some(asio::buffer(&Byte, 1), Error);
+    Seen = Error ? "closed" : "answered";
+    asio::post(Io, [&] { Io.stop(); });
+  });
+  Io.run();
+  Caller.join();
+  CHECK(Served == 1);
+  CHECK(Seen == "closed");
+}
+
 TEST_CASE("nothing is started for a caller that has left before it is read") {
   asio::io_context Io;
   int Served = 0;
