--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -10,7 +10,6 @@
 #ifndef GOLDCRESTLINK_ADMISSION_SIDE_ADMISSION_H
 #define GOLDCRESTLINK_ADMISSION_SIDE_ADMISSION_H
 
-#include <deque>
 #include <list>
 #include <map>
 #include <optional>
@@ -85,6 +84,9 @@
   bool operator==(const EngineLoad &) const = default;
 };
 
+/// "model/adapter"; an empty adapter names the base model. Thread-safe.
+std::string adapterName(std::string_view Model, std::string_view Adapter);
+
 /// Short hash of an adapter for load messages. Thread-safe.
 uint32_t adapterHash(std::string_view Model, std::string_view Adapter);
 
@@ -152,7 +154,6 @@
   /// its sending to its first token, zero if it had none.
   void onEnd(const Time &N, const std::string &Peer, uint64_t Id,
              Duration FirstToken);
-  /// The first token of a granted request has arrived at its entry.
   void onReport(const Time &N, const EngineReport &R);
   /// The engine did not answer.
   void onEngineSilent(const Time &N);
--- a/forward/call.h
+++ b/forward/call.h
@@ -61,7 +61,7 @@
   /// Set with NotRun if another incarnation answers at the address.
   bool OtherInstance = false;
   bool EventStream = false;
-  /// The upstream will close or is leaving.
+  /// The body has a content encoding, which no upstream was asked for.
   bool Encoded = false;
 };
 
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -19,8 +19,6 @@
 constexpr uint32_t MaxDemandTokens = 1500;
 constexpr double DefaultPrefillRate = 20;
 
-std::string nameOf(const EngineWant &W) { return W.Model + "/" + W.Adapter; }
-
 double decay(Duration Age, double TimeConstant) {
   return std::exp(-seconds(Age) / TimeConstant);
 }
@@ -45,7 +43,7 @@
     });
   if (Demands.size() >= Opts.maxAdapters())
     return;
-  Demand &D = Demands[nameOf(Want)];
+  Demand &D = Demands[adapterName(Want.Model, Want.Adapter)];
   D.TokenRate = D.TokenRate * decay(N - D.At, DemandSeconds) +
                 std::min(Want.PromptTokens, MaxDemandTokens) / DemandSeconds;
   D.At = N;
@@ -117,7 +115,7 @@
 size_t EngineBoard::homes(Time N, const EngineWant &Want) const {
   if (Want.Adapter.empty())
     return 0;
-  const double Busy = tokenRate(N, nameOf(Want)) *
+  const double Busy = tokenRate(N, adapterName(Want.Model, Want.Adapter)) *
                       static_cast<double>(Entries) /
                       (meanPrefillRate() * 1000.0);
   return 1 + static_cast<size_t>(Busy / Opts.homeUtilisation());
@@ -127,7 +125,7 @@
 EngineBoard::rank(Time N, const EngineWant &Want,
                   std::span<const UpstreamRecord *const> Among) const {
   const uint32_t Wanted = adapterHash(Want.Model, Want.Adapter);
-  const uint64_t Key = hash64(nameOf(Want));
+  const uint64_t Key = hash64(adapterName(Want.Model, Want.Adapter));
   std::vector<std::pair<uint64_t, const UpstreamRecord *>> Order;
   for (const UpstreamRecord *U : Among)
     Order.emplace_back(mixHash(Key, hash64(U->Id)), U);
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -228,7 +228,7 @@
   Duration patienceOf(Time N, const ActiveCall &A, bool HeldSomewhere) const;
   void askSide(Time N, ActiveCall &A, const EngineCandidate &C,
                bool HeldSomewhere);
-  void leaveSide(Time N, ActiveCall &A);
+  void leaveSide(ActiveCall &A);
 
   // Sends and their ends.
   void sendTo(Time N, ActiveCall &A, uint64_t Version);
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -27,14 +27,7 @@
     std::filesystem::create_directories(Folder);
     Platform.putConfig(1);
     for (int I = 0; I < 2; ++I) {
-      const std::string Host = "127.0.1." + std::to_string(I + 1);
-      const auto Port = static_cast<uint16_t>(freePort());
-      Platform.addEngine("e" + std::to_string(I), Host, Port);
-      start("side" + std::to_string(I),
-            "[process]\nrole = side\ninstance = side-" + std::to_string(I) +
-                "\ndata_center = z\nlisten = " + Host + ":1\n" +
-                fleetSection(Host) + "engine = " + Host + ":" +
-                std::to_string(Port) + "\nservice = engines\n");
+      startEngineAndSide(I);
     }
     Platform.addPlain("p", "127.0.3.1", static_cast<uint16_t>(freePort()));
     for (int I = 0; I < 2; ++I) {
@@ -124,6 +117,19 @@
            "\nmetrics_port = " + std::to_string(MetricsPort) + "\n";
   }
 
+  void startEngineAndSide(int I) {
+    const std::string Number = std::to_string(I);
+    const std::string Host = "127.0.1." + std::to_string(I + 1);
+    const auto Port = static_cast<uint16_t>(freePort());
+    Platform.addEngine("e" + Number, Host, Port);
+    std::string Text = "[process]\nrole = side\ninstance = side-" + Number;
+    Text += "\ndata_center = z\nlisten = " + Host + ":1\n";
+    Text += fleetSection(Host);
+    Text += "engine = " + Host + ":" + std::to_string(Port);
+    Text += "\nservice = engines\n";
+    start("side" + Number, Text);
+  }
+
   void start(const std::string &Name, const std::string &Settings) {
     const std::string File = (Folder / (Name + ".ini")).string();
     std::ofstream(File) << Settings;
