--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -226,8 +226,8 @@
 
 void SideAdmission::onEngineSilent(const Time &N) {
   if (Reachable)
-    Port.log("engine state=unreachable waiting=" +
-             std::to_string(Queue.size()));
+    Port.log(LineClass::Kept, "engine state=unreachable waiting=" +
+                                  std::to_string(Queue.size()));
   Reachable = false;
   ReportedAt = N;
   for (const Waiting &W : Queue)
@@ -283,8 +283,6 @@
   Out.PrefillRate = Prefill.rate();
   Out.Utilisation = Prefill.utilisation(N);
   Out.Running = static_cast<uint32_t>(Grants.size());
-  Out.MemoryFree =
-      Spec.MemoryTokens - std::min(Spec.MemoryTokens, TokensGranted);
   for (const auto &[Name, S] : Adapters) {
     if (S.Incoming || isOutdated(N, Name))
       continue;
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -21,6 +21,7 @@
 #include "admission/engine_report.h"
 #include "admission/load_window.h"
 #include "admission/prefill_model.h"
+#include "base/line_class.h"
 #include "catalog/types.h"
 
 namespace goldcrestlink {
@@ -77,7 +78,6 @@
   /// Share of the engine's time that reading prompts takes.
   double Utilisation = 0;
   uint32_t Running = 0;
-  uint64_t MemoryFree = 0;
   /// Adapters that requests can use at once, by adapterHash().
   std::vector<uint32_t> Held;
 
@@ -96,7 +96,7 @@
   virtual ~SidePort() = default;
   virtual void reply(const AdmissionAsk &To, const AdmissionReply &R) = 0;
   virtual void order(const EngineOrder &O) = 0;
-  virtual void log(std::string Line) = 0;
+  virtual void log(LineClass Class, std::string Line) = 0;
 };
 
 /// Not thread-safe.
--- a/admission/side_orders.cc
+++ b/admission/side_orders.cc
@@ -35,9 +35,10 @@
     return;
   }
   if (Restarted || !Reachable) {
-    Port.log("engine state=up started_ms=" + std::to_string(R.StartedMs) +
-             " orders=" + std::to_string(R.OrderCount) +
-             " models=" + std::to_string(R.Models.size()));
+    Port.log(LineClass::Kept,
+             "engine state=up started_ms=" + std::to_string(R.StartedMs) +
+                 " orders=" + std::to_string(R.OrderCount) +
+                 " models=" + std::to_string(R.Models.size()));
     if (Restarted) {
       Grants.clear();
       TokensGranted = 0;
@@ -192,9 +193,9 @@
     return false;
   if (slotsUsed() >= Spec.AdapterSlots)
     return evictOne(N, Name);
-  Port.log("load adapter=" + Name +
-           " slots_used=" + std::to_string(slotsUsed()) +
-           " incoming=" + std::to_string(incoming()));
+  Port.log(LineClass::Routine, "load adapter=" + Name + " slots_used=" +
+                                   std::to_string(slotsUsed()) +
+                                   " incoming=" + std::to_string(incoming()));
   ++LoadsOrdered;
   give(N, OrderKind::Load, Model, Adapter);
   return true;
@@ -221,9 +222,10 @@
                           std::string_view Why) {
   const size_t Slash = Name.find('/');
   const AdapterState &S = Adapters.at(Name);
-  Port.log("evict adapter=" + Name + " version=" + std::to_string(S.Version) +
-           " for=" + std::string(Why) +
-           " idle_ms=" + std::to_string((N - S.LastUsed).count() / 1000));
+  Port.log(LineClass::Routine,
+           "evict adapter=" + Name + " version=" + std::to_string(S.Version) +
+               " for=" + std::string(Why) +
+               " idle_ms=" + std::to_string((N - S.LastUsed).count() / 1000));
   ++Evictions;
   // Not granted any more from now on.
   Adapters.erase(Name);
@@ -251,9 +253,11 @@
   if (Outcome == OrderOutcome::Unknown) {
     // Stays open; a report with a higher count settles it, or the same order
     // is given again after the timeout.
-    Port.log("order outcome=unknown kind=" +
-             std::string(Open->Kind == OrderKind::Load ? "load" : "unload") +
-             " model=" + Open->Model + " adapter=" + Open->Adapter);
+    Port.log(
+        LineClass::Kept,
+        "order outcome=unknown kind=" +
+            std::string(Open->Kind == OrderKind::Load ? "load" : "unload") +
+            " model=" + Open->Model + " adapter=" + Open->Adapter);
     return;
   }
   const EngineOrder Done = *Open;
@@ -289,12 +293,13 @@
     Open.reset();
     return placeOrder(N);
   }
-  Port.log(
-      "order outcome=" +
-      std::string(Outcome == OrderOutcome::Conflict ? "conflict" : "refused") +
-      " kind=" + (Done.Kind == OrderKind::Load ? "load" : "unload") +
-      " expected=" + std::to_string(Done.ExpectedCount) +
-      " model=" + Done.Model + " adapter=" + Done.Adapter);
+  Port.log(LineClass::Kept,
+           "order outcome=" +
+               std::string(Outcome == OrderOutcome::Conflict ? "conflict"
+                                                             : "refused") +
+               " kind=" + (Done.Kind == OrderKind::Load ? "load" : "unload") +
+               " expected=" + std::to_string(Done.ExpectedCount) +
+               " model=" + Done.Model + " adapter=" + Done.Adapter);
   // A fresh report tells the count; until then no further order.
   OpenAnswered = true;
   ReportedAt = Time{};
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -58,7 +58,7 @@
     Reasons[To.Id] = std::string(R.Reason);
   }
   void order(const EngineOrder &O) override { Orders.push_back(O); }
-  void log(std::string) override {}
+  void log(LineClass, std::string) override {}
 
   std::map<uint64_t, Verdict> Replies;
   std::map<uint64_t, uint64_t> Versions;
--- a/catalog/types.h
+++ b/catalog/types.h
@@ -54,10 +54,8 @@
   std::string Name;
   double SizeMb = 0;
   double AdapterMb = 0;
-  /// From the weight store, from the upstream's memory, from its disk.
+  /// From the weight store.
   Duration LoadTime = std::chrono::seconds(1);
-  Duration WarmLoadTime = std::chrono::seconds(1);
-  Duration DiskLoadTime = std::chrono::seconds(1);
 };
 
 /// What is the same for all engines of one service.
@@ -74,8 +72,6 @@
 struct ServiceSpec {
   std::string Name;
   std::string HealthPath = "/health";
-  /// Connections that one upstream accepts from all entries together.
-  uint32_t MaxConnections = 64;
   bool IsEngine = false;
   EngineSpec Engine;
 };
@@ -104,8 +100,6 @@
   std::string DataCentre;
   uint32_t Slots = 1;
   bool Draining = false;
-  /// How much longer it answers slowly after its start.
-  Duration ColdLeft{};
 
   bool operator==(const UpstreamRecord &) const = default;
 };
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -1,12 +1,19 @@
-// The command-line tool: goldcrestlink check|diff|apply|status|explain.
+// The command-line tool:
+// goldcrestlink check|diff|apply|status|explain|check-settings|fleet|story.
 // Exit codes: 0 done; 1 failed or unknown; 2 findings or usage; 3 lost a race.
 #include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
 #include <set>
 
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
 #include "cli/apply.h"
+#include "cli/fleet_view.h"
+#include "cli/request_story.h"
+#include "config/settings.h"
 #include "http/client.h"
 
 using namespace goldcrestlink;
@@ -22,6 +29,9 @@
   std::vector<std::string> Platform = {"127.0.0.1:9000"};
   std::vector<std::string> Processes;
   std::string Model;
+  std::vector<std::string> Files;
+  std::string Store = "127.0.0.1:9000";
+  std::string RequestId;
   uint64_t IfGeneration = 0;
   bool Json = false;
 };
@@ -154,6 +164,61 @@
   return Exit;
 }
 
+std::string fileText(const std::string &Path) {
+  std::ifstream In(Path, std::ios::binary);
+  if (!In)
+    throw std::runtime_error("cannot read " + Path);
+  return {std::istreambuf_iterator<char>(In), std::istreambuf_iterator<char>()};
+}
+
+// Reports the findings of all files together.
+int checkSettings(const Arguments &A) {
+  std::string Findings;
+  for (const std::string &File : A.Files)
+    try {
+      parseSettings(File, fileText(File));
+    } catch (const FindingError &E) {
+      Findings += E.what();
+    }
+  if (Findings.empty()) {
+    std::printf("valid: %zu files\n", A.Files.size());
+    return 0;
+  }
+  std::fputs(Findings.c_str(), stderr);
+  return ExitFindings;
+}
+
+int fleet(const Arguments &A) {
+  constexpr Duration Longest = std::chrono::seconds(5);
+  const Catalog C = readFleet(http::Endpoint::parse(A.Store), Longest);
+  std::printf("%s\n", (A.Json ? fleetJson(C) : fleetText(C)).c_str());
+  return 0;
+}
+
+// Prints what the logs say of one request; fails if they do not name it.
+int story(const Arguments &A) {
+  std::vector<LogLine> All;
+  for (const std::string &File : A.Files) {
+    const auto Lines = readLogLines(std::filesystem::path(File).stem().string(),
+                                    fileText(File));
+    All.insert(All.end(), Lines.begin(), Lines.end());
+  }
+  const std::vector<LogLine> Story = requestStory(A.RequestId, All);
+  nlohmann::json Objects = nlohmann::json::array();
+  for (const LogLine &L : Story)
+    if (A.Json)
+      Objects.push_back({{"t", L.At}, {"process", L.Source}, {"line", L.Text}});
+    else
+      std::printf("%+8.0f ms  %-12s %s\n", (L.At - Story.front().At) * 1000,
+                  L.Source.c_str(), L.Text.c_str());
+  if (A.Json)
+    std::printf("%s\n", Objects.dump().c_str());
+  if (!Story.empty())
+    return 0;
+  std::fprintf(stderr, "no line names request %s\n", A.RequestId.c_str());
+  return ExitFailed;
+}
+
 } // namespace
 
 int main(int Argc, char **Argv) {
@@ -183,6 +248,16 @@
   Explain->add_option("--process", A.Processes, "ip:port of an entry's HTTP")
       ->required();
   Explain->add_option("model", A.Model, "adapter@version")->required();
+  auto *Settings =
+      App.add_subcommand("check-settings", "check settings files of processes");
+  Settings->add_option("file", A.Files)->required();
+  auto *Fleet = App.add_subcommand(
+      "fleet", "what the platform's store says of routes and upstreams");
+  Fleet->add_option("--store", A.Store, "ip:port of the platform's store");
+  auto *Story =
+      App.add_subcommand("story", "what logs say of one request, in order");
+  Story->add_option("--request", A.RequestId, "its Request-Id")->required();
+  Story->add_option("log", A.Files, "log files of processes")->required();
   try {
     App.parse(Argc, Argv);
   } catch (const CLI::ParseError &E) {
@@ -197,6 +272,12 @@
       return apply(A);
     if (Status->parsed())
       return A.Processes.empty() ? cellStatus(A) : page(A, "/status");
+    if (Settings->parsed())
+      return checkSettings(A);
+    if (Fleet->parsed())
+      return fleet(A);
+    if (Story->parsed())
+      return story(A);
     return page(A, "/explain?model=" + A.Model);
   } catch (const FindingError &E) {
     std::fputs(E.what(), stderr);
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -85,7 +85,6 @@
   M.set_prefill_tokens_per_s(static_cast<uint32_t>(L.PrefillRate * 1000));
   M.set_utilisation_percent(static_cast<uint32_t>(L.Utilisation * 100));
   M.set_running(L.Running);
-  M.set_memory_free(L.MemoryFree);
   for (const uint32_t Hash : L.Held)
     M.add_held(Hash);
   M.set_upstream(std::string(UpstreamId));
@@ -103,7 +102,6 @@
   L.PrefillRate = std::max(MinPrefillRate, M.prefill_tokens_per_s() / 1000.0);
   L.Utilisation = M.utilisation_percent() / 100.0;
   L.Running = M.running();
-  L.MemoryFree = M.memory_free();
   L.Held.assign(M.held().begin(), M.held().end());
   return L;
 }
--- a/daemon/belief_codec.cc
+++ b/daemon/belief_codec.cc
@@ -24,7 +24,6 @@
   M.set_data_centre(C.Record->DataCentre);
   M.set_slots(C.Record->Slots);
   M.set_draining(C.Record->Draining);
-  M.set_cold_left_us(static_cast<uint64_t>(C.Record->ColdLeft.count()));
 }
 
 UpstreamChange decodeUpstream(const wire::Beliefs::Upstream &M) {
@@ -38,7 +37,6 @@
   R.DataCentre = M.data_centre();
   R.Slots = M.slots();
   R.Draining = M.draining();
-  R.ColdLeft = Duration(static_cast<int64_t>(M.cold_left_us()));
   C.Record = std::move(R);
   return C;
 }
--- a/daemon/entry_daemon.cc
+++ b/daemon/entry_daemon.cc
@@ -16,6 +16,7 @@
 #include "daemon/config_keeper.h"
 #include "daemon/decision_log.h"
 #include "daemon/entry_shard.h"
+#include "daemon/planned_stop.h"
 #include "daemon/request_metrics.h"
 #include "membership/cell_watchers.h"
 
@@ -29,7 +30,6 @@
 // After readiness fails, callers still get served for this long, so that a
 // balancer notices first.
 constexpr Duration StopNotice = std::chrono::seconds(1);
-constexpr Duration StopPoll = std::chrono::milliseconds(50);
 // Time for the last answers to leave once no request is in progress.
 constexpr Duration StopFlush = std::chrono::milliseconds(200);
 
@@ -45,7 +45,15 @@
               ask(Peer, R);
             }),
         Signals(Io, SIGTERM, SIGINT), DrainTimer(Io), PollTimer(Io),
-        StopTimer(Io) {}
+        Stop(Io, {[this] {
+                    for (auto &Shard : Shards)
+                      Shard->announceStop();
+                  },
+                  [this] {
+                    for (auto &Shard : Shards)
+                      Shard->stopAccepting();
+                  },
+                  [this] { return requestsInProgress(); }}) {}
 
   int run() {
     makeShards();
@@ -63,7 +71,7 @@
       Shard->stop();
     for (std::thread &T : Threads)
       T.join();
-    Log.drain(presentTime().Steady);
+    Log.finish(presentTime().Steady);
     LOG(INFO) << "entry " << S.InstanceName << " stopped";
     return 0;
   }
@@ -71,7 +79,9 @@
 private:
   void makeShards() {
     EntrySinks Sinks;
-    Sinks.Log = [this](std::string Line) { Log.push(std::move(Line)); };
+    Sinks.Log = [this](LineClass Class, std::string Line) {
+      Log.push(Class, std::move(Line));
+    };
     Sinks.Record = [this](entry::RequestRecord R) {
       Metrics.push(std::move(R));
     };
@@ -155,7 +165,7 @@
     R.set_name(S.InstanceName);
     R.set_entry(true);
     R.set_generation(Keeper.replica().generation());
-    R.set_ready(!Stopping);
+    R.set_ready(!Stop.begun());
     R.set_running(static_cast<uint32_t>(requestsInProgress()));
     Shards.front()->tell(StatusWriter, std::move(E));
   }
@@ -184,32 +194,8 @@
 
   void beginStop() {
     LOG(INFO) << "stopping: not ready, still serving";
-    Stopping = true;
-    for (auto &Shard : Shards)
-      Shard->announceStop();
-    StopTimer.expires_after(StopNotice);
-    StopTimer.async_wait([this](boost::system::error_code) {
-      for (auto &Shard : Shards)
-        Shard->stopAccepting();
-      StopDeadline = presentTime().Steady + S.DrainTimeout;
-      awaitDrained(Time{});
-    });
-  }
-
-  // \p EmptySince is when the last request was seen to end.
-  void awaitDrained(Time EmptySince) {
-    const Time N = presentTime().Steady;
-    if (requestsInProgress() > 0)
-      EmptySince = Time{};
-    else if (EmptySince == Time{})
-      EmptySince = N;
-    const bool Flushed = EmptySince != Time{} && N - EmptySince >= StopFlush;
-    if (Flushed || N >= StopDeadline)
-      return Io.stop();
-    StopTimer.expires_after(StopPoll);
-    StopTimer.async_wait([this, EmptySince](boost::system::error_code) {
-      awaitDrained(EmptySince);
-    });
+    Stop.begin(presentTime().Steady,
+               {StopNotice, StopFlush, StopNotice + S.DrainTimeout});
   }
 
   Settings S;
@@ -223,12 +209,10 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer DrainTimer;
   boost::asio::steady_timer PollTimer;
-  boost::asio::steady_timer StopTimer;
-  Time StopDeadline{};
+  PlannedStop Stop;
   Time NextAsk{};
   Time NextReport{};
   std::string StatusWriter;
-  bool Stopping = false;
   std::vector<std::unique_ptr<EntryShard>> Shards;
   std::vector<std::thread> Threads;
 };
--- a/daemon/entry_shard.cc
+++ b/daemon/entry_shard.cc
@@ -69,7 +69,7 @@
   void perform(entry::DeliverEnd &A);
   void perform(entry::DeliverWhole &A);
   void perform(entry::DeliverError &A);
-  void perform(entry::LogDecision &A) { Sinks.Log(std::move(A.Line)); }
+  void perform(entry::LogDecision &A) { Sinks.Log(A.Class, std::move(A.Line)); }
   void perform(entry::RequestRecord &A) { Sinks.Record(std::move(A)); }
   void onMessage(const std::string &Upstream, wire::Envelope &Message);
   void onConfig(std::shared_ptr<const Declarations> Config);
--- a/daemon/entry_shard.h
+++ b/daemon/entry_shard.h
@@ -26,7 +26,7 @@
 
 /// Where a shard hands things to the control thread. All are thread-safe.
 struct EntrySinks {
-  std::function<void(std::string)> Log;
+  std::function<void(LineClass, std::string)> Log;
   std::function<void(entry::RequestRecord)> Record;
   std::function<void(const std::string &Peer, const wire::Envelope &)> Control;
   /// Text of the metrics page; called back on any thread.
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -14,7 +14,7 @@
 #include <zmq.hpp>
 
 #include "daemon/admission_codec.h"
-#include "daemon/belief_codec.h"
+#include "daemon/belief_exchange.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/side_link.h"
 #include "forward/forwarder.h"
@@ -41,9 +41,6 @@
 
 // Digests go to every side in this interval, and at once after a change.
 constexpr Duration DigestInterval = std::chrono::seconds(1);
-// What is lacking is asked for at most this often.
-constexpr Duration RequestPause = std::chrono::milliseconds(150);
-
 struct OpenCall {
   std::shared_ptr<http::Responder> Answer;
 };
@@ -217,7 +214,9 @@
                std::string(forward::wordOf(Why)) + "\n");
   }
 
-  void log(std::string Line) override { Sinks.Log(std::move(Line)); }
+  void log(LineClass Class, std::string Line) override {
+    Sinks.Log(Class, std::move(Line));
+  }
 
   void record(uint32_t Rank, std::string_view Outcome, Duration FirstByte,
               Duration Total) override {
@@ -249,28 +248,22 @@
   void onPeerMessage(const std::string &Peer, wire::Envelope &Message) {
     if (!Message.has_belief_request() || !Known)
       return;
-    wire::Envelope E =
-        encodeBeliefs(Known->since(decodeRevisions(Message.belief_request())));
+    wire::Envelope E = beliefsFor(Message.belief_request(), *Known);
     if (!Peers.send(Peer, E))
-      Sinks.Log("beliefs outcome=peer_gone");
+      Sinks.Log(LineClass::Routine, "beliefs outcome=peer_gone");
   }
 
   bool onBeliefMessage(SideLink &From, wire::Envelope &Message) {
     if (Message.has_digest()) {
-      const BeliefRevisions Own = ownRevisions();
-      const Time N = now();
-      if (Own.lacks(decodeRevisions(Message.digest())) && N >= NextRequest) {
-        NextRequest = N + RequestPause;
-        wire::Envelope E = encodeBeliefRequest(Own);
-        From.sendSoon(E);
-      }
+      if (auto E = Exchange.askFor(now(), decodeRevisions(Message.digest()),
+                                   ownRevisions()))
+        From.sendSoon(*E);
       return true;
     }
     if (Message.has_belief_request()) {
       if (!Known)
         return true;
-      wire::Envelope E = encodeBeliefs(
-          Known->since(decodeRevisions(Message.belief_request())));
+      wire::Envelope E = beliefsFor(Message.belief_request(), *Known);
       From.sendSoon(E);
       return true;
     }
@@ -407,7 +400,7 @@
   std::map<std::string, std::unique_ptr<SideLink>> PeerLinks;
   size_t Entries = AssumedEntries;
   Time NextDigest{};
-  Time NextRequest{};
+  BeliefExchange Exchange;
   std::unordered_map<uint64_t, OpenCall> Open;
   std::unordered_map<uint64_t, OpenSend> Sends;
   std::atomic<size_t> InProgress{0};
--- a/daemon/entry_traffic.h
+++ b/daemon/entry_traffic.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <string>
 
+#include "base/line_class.h"
 #include "catalog/catalog.h"
 #include "config/settings.h"
 
@@ -20,7 +21,7 @@
 /// Where the traffic thread hands things over; both may be called on it at any
 /// time and must not block.
 struct TrafficSinks {
-  std::function<void(std::string)> Log;
+  std::function<void(LineClass, std::string)> Log;
   /// What another process knows of the deployment that this one lacks.
   std::function<void(BeliefUpdate)> Beliefs;
   /// Entries alive, this one included.
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -6,10 +6,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "base/random.h"
 #include "daemon/entry_traffic.h"
+#include "daemon/planned_stop.h"
 #include "daemon/process_control.h"
 #include "daemon/store_follower.h"
 
@@ -20,7 +20,6 @@
 // The platform asks for readiness every second and stops sending after two
 // misses; until then new connections are still served.
 constexpr Duration StopNotice = std::chrono::milliseconds(2600);
-constexpr Duration StopPoll = std::chrono::milliseconds(20);
 // Left for the process to end before it would be killed.
 constexpr Duration StopMargin = std::chrono::milliseconds(400);
 // Time for the last answers to leave once no call is in progress.
@@ -40,7 +39,9 @@
                    });
                  }}),
         Traffic(S, Seed,
-                {[this](std::string Line) { Control.log(std::move(Line)); },
+                {[this](LineClass Class, std::string Line) {
+                   Control.log(Class, std::move(Line));
+                 },
                  [this](BeliefUpdate U) {
                    boost::asio::post(
                        Io, [this, U = std::move(U)] { Follower.onBeliefs(U); });
@@ -52,7 +53,9 @@
         Follower(
             Io, S.Fleet.Store, Seed + 1, [this] { publish(); },
             [this](std::string Line) { Control.log(std::move(Line)); }),
-        StopTimer(Io) {}
+        Stop(Io, {[this] { Traffic.announceStop(); },
+                  [this] { Traffic.stopAccepting(); },
+                  [this] { return Traffic.callsInProgress(); }}) {}
 
   int run() {
     Follower.start();
@@ -72,32 +75,8 @@
   }
 
   void beginStop() {
-    if (Stopping)
-      return;
-    Stopping = true;
-    StopDeadline = presentTime().Steady + S.Fleet.StopTime - StopMargin;
-    Traffic.announceStop();
-    StopTimer.expires_after(StopNotice);
-    StopTimer.async_wait([this](boost::system::error_code) {
-      Traffic.stopAccepting();
-      awaitDrained(Time{});
-    });
-  }
-
-  // \p EmptySince is when the last call was seen to end.
-  void awaitDrained(Time EmptySince) {
-    const Time N = presentTime().Steady;
-    if (Traffic.callsInProgress() > 0)
-      EmptySince = Time{};
-    else if (EmptySince == Time{})
-      EmptySince = N;
-    if ((EmptySince != Time{} && N - EmptySince >= StopFlush) ||
-        N >= StopDeadline)
-      return Io.stop();
-    StopTimer.expires_after(StopPoll);
-    StopTimer.async_wait([this, EmptySince](boost::system::error_code) {
-      awaitDrained(EmptySince);
-    });
+    Stop.begin(presentTime().Steady,
+               {StopNotice, StopFlush, S.Fleet.StopTime - StopMargin});
   }
 
   Settings S;
@@ -106,10 +85,8 @@
   ProcessControl Control;
   EntryTraffic Traffic;
   StoreFollower Follower;
-  boost::asio::steady_timer StopTimer;
+  PlannedStop Stop;
   std::atomic<uint64_t> StoreCalls{0};
-  Time StopDeadline{};
-  bool Stopping = false;
 };
 
 } // namespace
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -18,7 +18,7 @@
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "daemon/admission_codec.h"
-#include "daemon/belief_codec.h"
+#include "daemon/belief_exchange.h"
 #include "daemon/process_control.h"
 #include "http/client.h"
 #include "platform/engine_control.h"
@@ -43,8 +43,6 @@
 constexpr Duration HeldInterval = std::chrono::milliseconds(40);
 // An entry that has not asked for this long is forgotten.
 constexpr Duration EntryMemory = std::chrono::seconds(6);
-// What is lacking is asked for at most this often.
-constexpr Duration RequestPause = std::chrono::milliseconds(100);
 constexpr Duration StopTime = std::chrono::milliseconds(300);
 
 class FleetSide : SidePort {
@@ -116,18 +114,14 @@
     if (Message.has_digest()) {
       const BeliefRevisions Theirs = decodeRevisions(Message.digest());
       const BeliefRevisions &Own = Believed.revisions();
-      if (Own.lacks(Theirs) && N >= NextRequest) {
-        NextRequest = N + RequestPause;
-        wire::Envelope E = encodeBeliefRequest(Own);
-        tell(Peer, E);
-      }
+      if (auto E = Exchange.askFor(N, Theirs, Own))
+        tell(Peer, *E);
       if (Theirs.lacks(Own)) {
         wire::Envelope E = encodeDigest(Own);
         tell(Peer, E);
       }
     } else if (Message.has_belief_request()) {
-      wire::Envelope E = encodeBeliefs(
-          Believed.since(decodeRevisions(Message.belief_request())));
+      wire::Envelope E = beliefsFor(Message.belief_request(), Believed);
       tell(Peer, E);
     } else if (Message.has_beliefs()) {
       onBeliefs(N, Peer, decodeBeliefs(Message.beliefs()));
@@ -181,24 +175,28 @@
   void reply(const AdmissionAsk &To, const AdmissionReply &R) override {
     if (R.What == Verdict::Refuse)
       Control.log(
+          LineClass::Routine,
           "refuse ask=" + std::to_string(To.Id) + " adapter=" + To.Model + "/" +
-          To.Adapter + " rank=" + std::to_string(To.Rank) +
-          " reason=" + std::string(R.Reason) +
-          " expected_ms=" + std::to_string(R.Expected.count() / 1000) +
-          " patience_ms=" + std::to_string(To.Patience.count() / 1000) +
-          " granted=" + std::to_string(Admission.granted()) +
-          " granted_tokens=" + std::to_string(Admission.grantedTokens()) +
-          " waiting=" + std::to_string(Admission.waiting()) +
-          " running=" + std::to_string(Admission.report().Running) +
-          " starting=" + std::to_string(Admission.report().Waiting) +
-          " memory_used=" + std::to_string(Admission.report().MemoryUsed) +
-          " rate=" + std::to_string(Admission.load(now()).PrefillRate));
+              To.Adapter + " rank=" + std::to_string(To.Rank) +
+              " reason=" + std::string(R.Reason) +
+              " expected_ms=" + std::to_string(R.Expected.count() / 1000) +
+              " patience_ms=" + std::to_string(To.Patience.count() / 1000) +
+              " granted=" + std::to_string(Admission.granted()) +
+              " granted_tokens=" + std::to_string(Admission.grantedTokens()) +
+              " waiting=" + std::to_string(Admission.waiting()) +
+              " running=" + std::to_string(Admission.report().Running) +
+              " starting=" + std::to_string(Admission.report().Waiting) +
+              " memory_used=" + std::to_string(Admission.report().MemoryUsed) +
+              " rate=" + std::to_string(Admission.load(now()).PrefillRate));
     wire::Envelope E = encodeReply(To.Id, R);
     if (!Entries.send(To.Peer, E))
-      Control.log("reply outcome=entry_gone ask=" + std::to_string(To.Id));
+      Control.log(LineClass::Routine,
+                  "reply outcome=entry_gone ask=" + std::to_string(To.Id));
   }
 
-  void log(std::string Line) override { Control.log(std::move(Line)); }
+  void log(LineClass Class, std::string Line) override {
+    Control.log(Class, std::move(Line));
+  }
 
   void sendLoad(const std::string &Peer, const EngineLoad &L) {
     wire::Envelope E = encodeLoad(L, InstanceId, LastHeard.size());
@@ -349,7 +347,7 @@
   wire::RouterSocket Entries;
   std::map<std::string, Time> LastHeard;
   Catalog Believed;
-  Time NextRequest{};
+  BeliefExchange Exchange;
   EngineLoad LastLoad;
   Time LoadSentAt{};
   std::string Health;
--- a/daemon/process_control.cc
+++ b/daemon/process_control.cc
@@ -46,7 +46,7 @@
 
 ProcessControl::~ProcessControl() = default;
 
-void ProcessControl::flush() { Lines.drain(presentTime().Steady); }
+void ProcessControl::flush() { Lines.finish(presentTime().Steady); }
 
 void ProcessControl::drain() {
   const Time N = presentTime().Steady;
--- a/daemon/process_control.h
+++ b/daemon/process_control.h
@@ -2,7 +2,7 @@
 // the metrics address, signals, and settings files that change.
 //
 //   ProcessControl P(Io, Settings, File, {OnStop, OnSettings, OnMetrics});
-//   P.log("line");     // any thread
+//   P.log("store state=lost ...");     // any thread
 #ifndef GOLDCRESTLINK_DAEMON_PROCESS_CONTROL_H
 #define GOLDCRESTLINK_DAEMON_PROCESS_CONTROL_H
 
@@ -33,8 +33,11 @@
   ProcessControl(boost::asio::io_context &Io, const Settings &S,
                  std::string File, ControlHandlers On);
   ~ProcessControl();
-  void log(std::string Line) { Lines.push(std::move(Line)); }
-  /// Writes what is queued now.
+  void log(LineClass Class, std::string Line) {
+    Lines.push(Class, std::move(Line));
+  }
+  void log(std::string Line) { log(LineClass::Kept, std::move(Line)); }
+  /// Writes what is queued, at the end of the process.
   void flush();
 
 private:
--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -66,7 +66,7 @@
     Io.run();
     Traffic.stop();
     Thread.join();
-    Log.drain(presentTime().Steady);
+    Log.finish(presentTime().Steady);
     LOG(INFO) << "side " << S.InstanceName << " stopped";
     return 0;
   }
@@ -74,7 +74,9 @@
 private:
   SideSinks sinks() {
     SideSinks Out;
-    Out.Log = [this](std::string Line) { Log.push(std::move(Line)); };
+    Out.Log = [this](LineClass Class, std::string Line) {
+      Log.push(Class, std::move(Line));
+    };
     Out.Control = [this](const std::string &Peer, const wire::Envelope &E,
                          std::function<void(wire::Envelope)> Reply) {
       boost::asio::post(Io,
--- a/daemon/side_traffic.cc
+++ b/daemon/side_traffic.cc
@@ -58,7 +58,7 @@
   void perform(side::CancelRun &A) { Client.cancel(A.AttemptId); }
   void perform(side::LoadAdapter &A) { Client.load(A); }
   void perform(side::CheckUpstream &) { Client.check(); }
-  void perform(side::LogDecision &A) { Sinks.Log(std::move(A.Line)); }
+  void perform(side::LogDecision &A) { Sinks.Log(A.Class, std::move(A.Line)); }
   void toControl(const std::string &Peer, const wire::Envelope &Message,
                  bool ByRouter);
   std::vector<std::string> otherSides() const;
--- a/daemon/side_traffic.h
+++ b/daemon/side_traffic.h
@@ -25,7 +25,7 @@
 
 /// Where traffic hands things to the control thread. All are thread-safe.
 struct SideSinks {
-  std::function<void(std::string)> Log;
+  std::function<void(LineClass, std::string)> Log;
   /// A message about configuration or membership. \p Reply answers it.
   std::function<void(const std::string &Peer, const wire::Envelope &,
                      std::function<void(wire::Envelope)> Reply)>
--- a/entry/actions.h
+++ b/entry/actions.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/line_class.h"
 #include "base/refusal.h"
 #include "base/time.h"
 #include "wire/generated/messages.pb.h"
@@ -84,6 +85,7 @@
 
 /// One line for the decision log.
 struct LogDecision {
+  LineClass Class;
   std::string Line;
 };
 
--- a/entry/entry_answers.cc
+++ b/entry/entry_answers.cc
@@ -243,12 +243,14 @@
   }
   for (const auto &[Name, V] : Verdicts) {
     if (V == SideView::Verdict::Unreachable) {
-      Out.emplace_back(LogDecision{"unreachable upstream=" + Name});
+      Out.emplace_back(
+          LogDecision{LineClass::Kept, "unreachable upstream=" + Name});
       moveAway(N, Name, Out);
       continue;
     }
     if (V == SideView::Verdict::Reset) {
-      Out.emplace_back(LogDecision{"reset connection upstream=" + Name});
+      Out.emplace_back(
+          LogDecision{LineClass::Kept, "reset connection upstream=" + Name});
       Out.emplace_back(ResetConnection{Name});
     }
     askAgain(N, Name, Out);
--- a/entry/entry_machine.cc
+++ b/entry/entry_machine.cc
@@ -193,11 +193,12 @@
   Record.Attempts = A.Attempts;
   Out.emplace_back(std::move(Record));
   Out.emplace_back(LogDecision{
+      Why == Code::None ? LineClass::Routine : LineClass::Kept,
       "end request=" + Id + " rank=" + A.Rank.Name +
-      " code=" + std::string(codeName(Why)) +
-      " outcome=" + std::string(outcomeName(Known)) +
-      " attempts=" + std::to_string(A.Attempts) +
-      " took_us=" + std::to_string((N.Steady - A.Arrived).count())});
+          " code=" + std::string(codeName(Why)) +
+          " outcome=" + std::string(outcomeName(Known)) +
+          " attempts=" + std::to_string(A.Attempts) +
+          " took_us=" + std::to_string((N.Steady - A.Arrived).count())});
   Requests.erase(It);
 }
 
--- a/entry/entry_routing.cc
+++ b/entry/entry_routing.cc
@@ -271,11 +271,12 @@
   T.set_stream(A.Ask.Stream);
   T.set_max_tokens(A.Ask.MaxTokens);
   Out.emplace_back(LogDecision{
+      LineClass::Routine,
       "route request=" + A.Ask.Id + " attempt=" + Id + " adapter=" +
-      (A.Ask.Adapter.empty() ? A.Ask.Path
-                             : slotKey(A.Ask.Adapter, A.Ask.Version)) +
-      " rank=" + A.Rank.Name + " upstream=" + Upstream +
-      " reason=" + std::string(Reason)});
+          (A.Ask.Adapter.empty() ? A.Ask.Path
+                                 : slotKey(A.Ask.Adapter, A.Ask.Version)) +
+          " rank=" + A.Rank.Name + " upstream=" + Upstream +
+          " reason=" + std::string(Reason)});
   Out.emplace_back(std::move(Send));
 }
 
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -91,16 +91,6 @@
                 [&](const auto &Item) { return !Known.contains(Item.first); });
 }
 
-double EngineBoard::prefillRate(const std::string &Id) const {
-  const auto It = Views.find(Id);
-  return It == Views.end() ? DefaultPrefillRate : It->second.Load.PrefillRate;
-}
-
-bool EngineBoard::sideAnswers(Time N, const std::string &Id) const {
-  const auto It = Views.find(Id);
-  return It == Views.end() || N >= It->second.SilentUntil;
-}
-
 double EngineBoard::meanPrefillRate() const {
   double Sum = 0;
   size_t Count = 0;
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -129,9 +129,6 @@
   /// Engines that ought to hold the adapter at its present demand.
   size_t homes(Time N, const EngineWant &Want) const;
   size_t entries() const { return Entries; }
-  /// Prompt tokens per millisecond of an engine.
-  double prefillRate(const std::string &Id) const;
-  bool sideAnswers(Time N, const std::string &Id) const;
 
 private:
   struct View {
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -16,6 +16,9 @@
 namespace goldcrestlink::forward {
 
 namespace {
+
+// Keeps a number short on the wire.
+constexpr uint64_t AskStartMask = 0x3fffffff;
 // While no configuration or no upstream is known.
 constexpr Duration UnknownRetryAfter = std::chrono::milliseconds(500);
 // A home is told at most this often to load the same adapter.
@@ -53,6 +56,7 @@
 
 Forwarder::Forwarder(Options O, ForwardPort &InPort, uint64_t Seed)
     : Opts(std::move(O)), Port(InPort), Rand(Seed),
+      NextAsk(1 + (Seed & AskStartMask)),
       Board(EngineBoard::Options().setDataCentre(Opts.dataCentre())),
       Balancer(ServiceBalancer::Options().setDataCentre(Opts.dataCentre())) {}
 
@@ -121,9 +125,10 @@
 void Forwarder::refuseOutright(uint64_t Id, const CallerCall &C,
                                unsigned Status, Duration RetryAfter,
                                EndReason Why) {
-  Port.log("end id=" + C.RequestId + " outcome=" + std::string(wordOf(Why)) +
-           " status=" + std::to_string(Status) + " config=" +
-           std::to_string(hasConfig() ? Known->config()->Version : 0));
+  Port.log(LineClass::Kept,
+           "end id=" + C.RequestId + " outcome=" + std::string(wordOf(Why)) +
+               " status=" + std::to_string(Status) + " config=" +
+               std::to_string(hasConfig() ? Known->config()->Version : 0));
   Port.record(0, wordOf(Why), Duration(0), Duration(0));
   Port.answerOwn(Id, Status, C.RequestId, RetryAfter, Why);
 }
@@ -347,13 +352,19 @@
     return sendTo(N, A, R.Version);
   case Verdict::Wait:
     A.At = Stage::Waiting;
-    Port.log("wait " + describe(A) + " ask=" + std::to_string(AskId) +
-             " expected_ms=" + std::to_string(R.Expected.count() / 1000));
+    Port.log(LineClass::Routine,
+             "wait " + describe(A) + " ask=" + std::to_string(AskId) +
+                 " expected_ms=" + std::to_string(R.Expected.count() / 1000));
     // The side gives up first; this covers a side that has died meanwhile.
     A.StageUntil = N + A.Patience * 2 + Opts.askTimeout();
     schedule(A.StageUntil, A.Id);
     return;
   case Verdict::Refuse:
+    Port.log(LineClass::Routine,
+             "refused_by_side " + describe(A) +
+                 " ask=" + std::to_string(AskId) +
+                 " expected_ms=" + std::to_string(R.Expected.count() / 1000) +
+                 " elsewhere=" + (R.TryElsewhere ? "yes" : "no"));
     CallOfAsk.erase(Found);
     A.AskId = 0;
     A.Tried.insert(A.Upstream.Id);
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "admission/side_admission.h"
+#include "base/line_class.h"
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "forward/call.h"
@@ -48,6 +49,9 @@
 /// The word used for \p R in logs and metrics. Thread-safe.
 std::string_view wordOf(EndReason R);
 
+/// The outcome of a call that got a success, in logs and metrics.
+constexpr std::string_view ServedOutcome = "served";
+
 /// Names one send of one call.
 struct SendId {
   uint64_t Call = 0;
@@ -81,7 +85,7 @@
   virtual void answerOwn(uint64_t Call, unsigned Status,
                          std::string_view RequestId, Duration RetryAfter,
                          EndReason Why) = 0;
-  virtual void log(std::string Line) = 0;
+  virtual void log(LineClass Class, std::string Line) = 0;
   /// One ended call, for metrics. \p FirstByte is zero if there was none.
   virtual void record(uint32_t Rank, std::string_view Outcome,
                       Duration FirstByte, Duration Total) = 0;
@@ -258,7 +262,9 @@
   std::map<std::string, std::vector<const UpstreamRecord *>> Ready;
   CallMap Calls;
   std::unordered_map<uint64_t, uint64_t> CallOfAsk;
-  uint64_t NextAsk = 1;
+  // From a random start, so that a number in the logs names one ask of one
+  // entry.
+  uint64_t NextAsk;
   EngineBoard Board;
   ServiceBalancer Balancer;
   std::map<std::string, RetryAllowance> Allowances;
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -51,10 +51,11 @@
   T.Rank = A.Rank;
   T.IsEngine = A.IsEngine;
   T.AfterEvent = A.Events.lastId();
-  Port.log("send " + describe(A) + " send=" + std::to_string(A.Sends) +
-           " version=" + std::to_string(Version) +
-           " waited_ms=" + std::to_string((N - A.Arrived).count() / 1000) +
-           (T.AfterEvent.empty() ? "" : " after_event=" + T.AfterEvent));
+  Port.log(LineClass::Routine,
+           "send " + describe(A) + " send=" + std::to_string(A.Sends) +
+               " version=" + std::to_string(Version) +
+               " waited_ms=" + std::to_string((N - A.Arrived).count() / 1000) +
+               (T.AfterEvent.empty() ? "" : " after_event=" + T.AfterEvent));
   Port.send({A.Id, A.Sends}, A.Call, T);
 }
 
@@ -145,7 +146,7 @@
     if (std::string Rest = A.Events.takePartial(); !Rest.empty())
       Port.answerData(A.Id, std::move(Rest));
     Port.answerEnd(A.Id);
-    erase(N, A, "served");
+    erase(N, A, ServedOutcome);
   } else if (A.HeadPassedOn) {
     // A resumed stream whose second run failed.
     Port.answerAbort(A.Id);
@@ -171,16 +172,17 @@
 void Forwarder::passOnWhole(Time N, ActiveCall &A, const AnswerHead &H,
                             std::string Body) {
   Port.answerWhole(A.Id, H.Status, H.Fields, std::move(Body));
-  erase(N, A, isSuccess(H.Status) ? "served" : "upstream_failure");
+  erase(N, A, isSuccess(H.Status) ? ServedOutcome : "upstream_failure");
 }
 
 void Forwarder::onError(Time N, SendId S, SendError E, std::string_view Why) {
   ActiveCall *A = find(S);
   if (!A)
     return;
-  Port.log("send_failed " + describe(*A) + " send=" + std::to_string(A->Sends) +
-           " sent=" + (E == SendError::NotSent ? "no" : "maybe") + " why=\"" +
-           std::string(Why) + "\"");
+  Port.log(LineClass::Kept,
+           "send_failed " + describe(*A) + " send=" + std::to_string(A->Sends) +
+               " sent=" + (E == SendError::NotSent ? "no" : "maybe") +
+               " why=\"" + std::string(Why) + "\"");
   settleSend(N, *A, true);
   if (E == SendError::NotSent) {
     if (A->IsEngine)
@@ -255,14 +257,15 @@
 }
 
 void Forwarder::erase(Time N, ActiveCall &A, std::string_view Outcome) {
-  Port.log("end " + describe(A) + " outcome=" + std::string(Outcome) +
-           " sends=" + std::to_string(A.Sends) +
-           " asks=" + std::to_string(A.Asks) +
-           " may_have_run=" + (A.MayHaveRun ? "yes" : "no") + " first_ms=" +
-           std::to_string(A.FirstByteAt == Time{}
-                              ? -1
-                              : (A.FirstByteAt - A.Arrived).count() / 1000) +
-           " total_ms=" + std::to_string((N - A.Arrived).count() / 1000));
+  Port.log(
+      Outcome == ServedOutcome ? LineClass::Routine : LineClass::Kept,
+      "end " + describe(A) + " outcome=" + std::string(Outcome) + " sends=" +
+          std::to_string(A.Sends) + " asks=" + std::to_string(A.Asks) +
+          " may_have_run=" + (A.MayHaveRun ? "yes" : "no") + " first_ms=" +
+          std::to_string(A.FirstByteAt == Time{}
+                             ? -1
+                             : (A.FirstByteAt - A.Arrived).count() / 1000) +
+          " total_ms=" + std::to_string((N - A.Arrived).count() / 1000));
   Port.record(A.Rank, Outcome,
               A.FirstByteAt == Time{} ? Duration(0) : A.FirstByteAt - A.Arrived,
               N - A.Arrived);
@@ -309,7 +312,7 @@
     return;
   switch (A.At) {
   case Stage::Asking:
-    Port.log("side_silent " + describe(A));
+    Port.log(LineClass::Kept, "side_silent " + describe(A));
     Board.onSideSilent(N, A.Upstream.Id);
     leaveSide(A);
     Port.sideSilent(A.Upstream);
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -107,7 +107,7 @@
     Reason = Why;
     ++Ends;
   }
-  void log(std::string) override {}
+  void log(LineClass, std::string) override {}
   void record(uint32_t, std::string_view, Duration, Duration) override {}
 
   std::vector<Asked> Asks;
--- a/side/actions.h
+++ b/side/actions.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/line_class.h"
 #include "wire/generated/messages.pb.h"
 
 namespace goldcrestlink::side {
@@ -55,6 +56,7 @@
 
 /// One line for the decision log.
 struct LogDecision {
+  LineClass Class;
   std::string Line;
 };
 
--- a/side/side_loads.cc
+++ b/side/side_loads.cc
@@ -62,7 +62,8 @@
   LoadStarted[Want.Adapter] = N.Steady;
   ++Counters.Loads;
   Out.emplace_back(LoadAdapter{*Slot, Want.Key});
-  log("load adapter=" + Want.Key + " slot=" + std::to_string(*Slot) +
+  log(LineClass::Routine,
+      "load adapter=" + Want.Key + " slot=" + std::to_string(*Slot) +
           " evicted=" + (Evicted.empty() ? "-" : Evicted) +
           " waiting=" + std::to_string(Want.Waiting),
       Out);
@@ -117,7 +118,8 @@
     releasePermit(Permit->second, Hash, true, Out);
     LoadPermits.erase(Permit);
   }
-  log("load adapter=" + Key + " slot=" + std::to_string(Slot) +
+  log(LineClass::Routine,
+      "load adapter=" + Key + " slot=" + std::to_string(Slot) +
           (Loaded ? " done" : " failed") +
           " took_us=" + std::to_string((N.Steady - LoadStarted[Hash]).count()),
       Out);
--- a/side/side_machine.cc
+++ b/side/side_machine.cc
@@ -158,8 +158,8 @@
   S.set_incarnation(Incarnation);
 }
 
-void SideMachine::log(std::string Line, Actions &Out) const {
-  Out.emplace_back(LogDecision{std::move(Line)});
+void SideMachine::log(LineClass Class, std::string Line, Actions &Out) const {
+  Out.emplace_back(LogDecision{Class, std::move(Line)});
 }
 
 void SideMachine::sendEvent(const std::string &Id, wire::AttemptEvent Event,
@@ -258,7 +258,8 @@
                     Suspicion::Suspect);
   sendEvent(A.attempt_id(), std::move(Event), Out);
   Log.close(N.Steady, A.attempt_id());
-  log("refused attempt=" + A.attempt_id() + " request=" + A.request_id() +
+  log(LineClass::Kept,
+      "refused attempt=" + A.attempt_id() + " request=" + A.request_id() +
           " adapter=" + slotKey(A.adapter(), A.version()) +
           " rank=" + A.rank() + " reason=" + std::string(codeName(Why)),
       Out);
@@ -302,7 +303,8 @@
     ++Counters.Refused;
     break;
   }
-  log("key attempt=" + Id + " request=" + A.request_id() + " key=" + A.key() +
+  log(LineClass::Routine,
+      "key attempt=" + Id + " request=" + A.request_id() + " key=" + A.key() +
           " reason=" + Event.code(),
       Out);
   sendEvent(Id, std::move(Event), Out);
--- a/side/side_machine.h
+++ b/side/side_machine.h
@@ -294,7 +294,7 @@
                    const wire::Attempt &A, Code Why, Outcome Known,
                    Actions &Out);
   void tellCell(const wire::Envelope &Message, Actions &Out);
-  void log(std::string Line, Actions &Out) const;
+  void log(LineClass Class, std::string Line, Actions &Out) const;
 
   void adoptSelf();
   void buildQueue();
--- a/side/side_runs.cc
+++ b/side/side_runs.cc
@@ -89,7 +89,8 @@
   Runs.emplace(Id, std::move(R));
   countStart(N, W);
   Out.emplace_back(std::move(Start));
-  log("start attempt=" + Id + " request=" + A.request_id() +
+  log(LineClass::Routine,
+      "start attempt=" + Id + " request=" + A.request_id() +
           " adapter=" + W.SlotKey + " rank=" + A.rank() +
           " waited_us=" + std::to_string((N.Steady - W.Arrived).count()),
       Out);
@@ -280,7 +281,8 @@
   Down = Status.Is != Kind::Healthy;
   NextCheck = N.Steady + (Down ? Opts.checkWhenDown() : Opts.checkEvery());
   if (Down != WasDown)
-    log(std::string("upstream ") + (Down ? "down" : "up"), Out);
+    log(LineClass::Kept, std::string("upstream ") + (Down ? "down" : "up"),
+        Out);
   if (Down)
     return;
   if (Lost || WasDown)
@@ -337,7 +339,8 @@
   for (uint64_t F : Fingerprints)
     S.add_fingerprints(F);
   tellCell(Notice, Out);
-  log("crash id=" + CrashId + " suspects=" + std::to_string(Ran.size()), Out);
+  log(LineClass::Kept,
+      "crash id=" + CrashId + " suspects=" + std::to_string(Ran.size()), Out);
   for (const std::string &Id : Ran) {
     Out.emplace_back(CancelRun{Id});
     endRun(Id);
@@ -382,7 +385,8 @@
   ++Counters.Refused;
   Queue->remove(Id);
   const Work &W = Works.at(Id);
-  log("refused attempt=" + Id + " request=" + W.Ask.request_id() +
+  log(LineClass::Kept,
+      "refused attempt=" + Id + " request=" + W.Ask.request_id() +
           " adapter=" + W.SlotKey + " rank=" + W.Ask.rank() +
           " reason=" + std::string(codeName(Why)),
       Out);
@@ -403,7 +407,8 @@
   Last.set_code(std::string(codeName(Why)));
   Last.set_outcome(static_cast<wire::Outcome>(Known));
   Last.set_suspect(Suspect);
-  log("failed attempt=" + Id + " reason=" + std::string(codeName(Why)), Out);
+  log(LineClass::Kept,
+      "failed attempt=" + Id + " reason=" + std::string(codeName(Why)), Out);
   finishWork(N, Id, std::move(Last), Out);
 }
 
--- /dev/null
+++ b/soak/loopback_proxy.cc
@@ -0,0 +1,210 @@
+// Each direction of a relay is a loop of one read and one write, so that at
+// most one buffer is held per direction and the sender's own buffers fill up
+// behind it. A held direction looks again after HoldPoll.
+#include "soak/loopback_proxy.h"
+
+#include <array>
+#include <future>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+
+#include "testing/standin_support.h"
+
+namespace goldcrestlink::soak {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+
+namespace {
+
+constexpr size_t BufferBytes = 16 * 1024;
+constexpr auto HoldPoll = std::chrono::milliseconds(10);
+
+Tcp::endpoint tcpEndpoint(const http::Endpoint &E) {
+  return {asio::ip::make_address(E.Address), E.Port};
+}
+
+struct LinkState {
+  LinkState(asio::io_context &Io, const http::Endpoint &Listen,
+            const http::Endpoint &Target)
+      : Acceptor(Io, tcpEndpoint(Listen)), Target(tcpEndpoint(Target)) {}
+
+  bool holds(bool Forward) const {
+    return Fault == LinkFault::Silent ||
+           Fault == (Forward ? LinkFault::HeldForward : LinkFault::HeldBack);
+  }
+
+  Tcp::acceptor Acceptor;
+  Tcp::endpoint Target;
+  LinkFault Fault = LinkFault::None;
+  std::vector<std::weak_ptr<class Relay>> Relays;
+};
+
+class Relay : public std::enable_shared_from_this<Relay> {
+public:
+  Relay(asio::io_context &Io, LinkState &Link, Tcp::socket InNear)
+      : Io(Io), Link(Link), Near(std::move(InNear)), Far(Io) {}
+
+  void start() {
+    // A held link lets nobody connect either, once the kernel has accepted.
+    if (Link.holds(true) || Link.holds(false))
+      return again([Self = shared_from_this()] { Self->start(); });
+    Far.async_connect(Link.Target,
+                      [Self = shared_from_this()](ErrorCode Error) {
+                        if (Error)
+                          return Self->reset();
+                        ErrorCode Ignored;
+                        Self->Near.set_option(Tcp::no_delay(true), Ignored);
+                        Self->Far.set_option(Tcp::no_delay(true), Ignored);
+                        Self->read(true);
+                        Self->read(false);
+                      });
+  }
+
+  void reset() {
+    for (Tcp::socket *S : {&Near, &Far}) {
+      ErrorCode Ignored;
+      S->set_option(asio::socket_base::linger(true, 0), Ignored);
+      S->close(Ignored);
+    }
+  }
+
+  void silence() { Silenced = true; }
+
+private:
+  Tcp::socket &from(bool Forward) { return Forward ? Near : Far; }
+  Tcp::socket &to(bool Forward) { return Forward ? Far : Near; }
+
+  void again(std::function<void()> Do) {
+    testing::runLater(Io, HoldPoll, std::move(Do));
+  }
+
+  void read(bool Forward) {
+    from(Forward).async_read_some(
+        asio::buffer(Buffers[Forward]),
+        [Self = shared_from_this(), Forward](ErrorCode Error, size_t Size) {
+          if (Error && Error != asio::error::eof)
+            return Self->reset();
+          Self->pass(Forward, Size);
+        });
+  }
+
+  // \p Size of 0 passes on the end of the direction.
+  void pass(bool Forward, size_t Size) {
+    if (Silenced || Link.holds(Forward))
+      return again([Self = shared_from_this(), Forward, Size] {
+        if (Self->Near.is_open())
+          Self->pass(Forward, Size);
+      });
+    if (Link.Fault != LinkFault::Delayed)
+      return write(Forward, Size);
+    testing::runLater(Io, std::chrono::milliseconds(LoopbackProxy::DelayMs),
+                      [Self = shared_from_this(), Forward, Size] {
+                        Self->write(Forward, Size);
+                      });
+  }
+
+  void write(bool Forward, size_t Size) {
+    if (Size == 0) {
+      ErrorCode Ignored;
+      to(Forward).shutdown(Tcp::socket::shutdown_send, Ignored);
+      return;
+    }
+    asio::async_write(
+        to(Forward), asio::buffer(Buffers[Forward], Size),
+        [Self = shared_from_this(), Forward](ErrorCode Error, size_t) {
+          if (Error)
+            return Self->reset();
+          Self->read(Forward);
+        });
+  }
+
+  asio::io_context &Io;
+  LinkState &Link;
+  Tcp::socket Near;
+  Tcp::socket Far;
+  std::array<std::array<char, BufferBytes>, 2> Buffers{};
+  bool Silenced = false;
+};
+
+} // namespace
+
+struct LoopbackProxy::State {
+  State()
+      : Thread([this] {
+          auto Guard = asio::make_work_guard(Io);
+          Io.run();
+        }) {}
+
+  ~State() {
+    Io.stop();
+    Thread.join();
+  }
+
+  void accept(LinkState &Link) {
+    Link.Acceptor.async_accept(
+        [this, &Link](ErrorCode Error, Tcp::socket Socket) {
+          if (!Error) {
+            std::erase_if(Link.Relays,
+                          [](const auto &Weak) { return Weak.expired(); });
+            auto New = std::make_shared<Relay>(Io, Link, std::move(Socket));
+            Link.Relays.push_back(New);
+            New->start();
+          }
+          accept(Link);
+        });
+  }
+
+  template <class F> auto onThread(F Do) {
+    std::packaged_task<decltype(Do())()> Task(std::move(Do));
+    auto Result = Task.get_future();
+    asio::post(Io, [&Task] { Task(); });
+    return Result.get();
+  }
+
+  template <class F> void onRelays(size_t Link, F Do) {
+    onThread([&] {
+      for (const auto &Weak : Links[Link]->Relays)
+        if (const auto R = Weak.lock())
+          Do(*R);
+    });
+  }
+
+  // Acceptors and sockets refer to it, so it goes last.
+  asio::io_context Io{1};
+  std::vector<std::unique_ptr<LinkState>> Links;
+  std::thread Thread;
+};
+
+LoopbackProxy::LoopbackProxy() : Shared(std::make_unique<State>()) {}
+LoopbackProxy::~LoopbackProxy() = default;
+
+size_t LoopbackProxy::addLink(const http::Endpoint &Listen,
+                              const http::Endpoint &Target) {
+  return Shared->onThread([&] {
+    Shared->Links.push_back(
+        std::make_unique<LinkState>(Shared->Io, Listen, Target));
+    Shared->accept(*Shared->Links.back());
+    return Shared->Links.size() - 1;
+  });
+}
+
+void LoopbackProxy::setFault(size_t Link, LinkFault F) {
+  Shared->onThread([&] { Shared->Links[Link]->Fault = F; });
+}
+
+void LoopbackProxy::reset(size_t Link) {
+  Shared->onRelays(Link, [](Relay &R) { R.reset(); });
+}
+
+void LoopbackProxy::silenceOpen(size_t Link) {
+  Shared->onRelays(Link, [](Relay &R) { R.silence(); });
+}
+
+} // namespace goldcrestlink::soak
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -153,6 +153,7 @@
   for (const char *Id : {"e0", "e1"}) {
     CAPTURE(Id);
     CHECK(D.Platform.tally(Id).Violations == 0);
+    CHECK(D.Platform.tally(Id).UnloadsInUse == 0);
   }
 }
 
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -5,7 +5,7 @@
 //
 //   PlatformStandIn P;
 //   P.putConfig(1);
-//   P.addEngine("127.0.1.1", Port);
+//   P.addEngine("e0", "127.0.1.1", Port);
 //   http::Endpoint Store = P.store();
 #ifndef GOLDCRESTLINK_TESTING_PLATFORM_STANDIN_H
 #define GOLDCRESTLINK_TESTING_PLATFORM_STANDIN_H
@@ -15,26 +15,21 @@
 #include <string>
 #include <vector>
 
-#include "http/message.h"
+#include "testing/store_standin.h"
+#include "testing/upstream_standin.h"
 
 namespace goldcrestlink::testing {
 
-/// What one upstream has seen.
-struct UpstreamTally {
-  /// Request ids that it ran, in order.
-  std::vector<std::string> Ran;
-  /// Requests that named another instance, or an adapter it does not hold.
-  int Misdirected = 0;
-  /// Orders over its adapter slots, on adapters in use, or without what the
-  /// platform demands of them.
-  int Violations = 0;
-  int Orders = 0;
-};
-
-/// Thread-safe: each call is carried out on the stand-ins' thread.
+/// Thread-safe: each call is carried out on the stand-ins' thread. Upstreams
+/// are named by the id under which they were added, also when they start again
+/// under another.
 class PlatformStandIn {
 public:
-  PlatformStandIn();
+  /// Attempts that routes allow for one request.
+  static constexpr int MaxAttempts = 2;
+
+  /// \p Observer hears what upstreams do and outlives the stand-ins.
+  explicit PlatformStandIn(UpstreamObserver *Observer = nullptr);
   ~PlatformStandIn();
 
   http::Endpoint store() const;
@@ -46,20 +41,35 @@
                  uint16_t Port);
   void addPlain(const std::string &Id, const std::string &Address,
                 uint16_t Port);
-  /// Writes the upstream's entry again as draining, or removes it.
-  void drain(const std::string &Id);
-  void remove(const std::string &Id);
+  /// Starts an upstream that the store says to be at another address.
+  void add(UpstreamStandIn::Spec S);
+  /// Writes the upstream's entry again as draining, or as ready, or removes it.
+  void drain(const std::string &Name);
+  void restore(const std::string &Name);
+  void remove(const std::string &Name);
+  /// Writes an entry, a release and a configuration that nobody can read.
+  void putGarbage();
   /// An engine starts again under the same id, holding nothing.
-  void restartEngine(const std::string &Id);
-  /// Announces a version of adapter \p Name.
-  void release(const std::string &Name, int Version);
+  void restartEngine(const std::string &Name);
+  /// The upstream ends, cutting what it runs; its entry stays. Nothing happens
+  /// if it does not run.
+  void crash(const std::string &Name);
+  /// It starts again and is entered as ready, under \p Id if one is given.
+  /// False, and nothing happens, if it runs.
+  bool start(const std::string &Name, const std::string &Id = "");
+  void setFault(const std::string &Name, UpstreamFault F);
+  /// Announces a version of adapter \p Adapter.
+  void release(const std::string &Adapter, int Version);
   /// While set, every call to the store is answered 503.
-  void setStoreDown(bool Down);
+  void setStoreDown(bool Down) {
+    setStoreFault(Down ? StoreFault::Unavailable : StoreFault::None);
+  }
+  void setStoreFault(StoreFault F);
   /// Drops the history; watches that wait hear nothing of it.
   void dropHistory();
-  UpstreamTally tally(const std::string &Id) const;
+  UpstreamTally tally(const std::string &Name) const;
   /// Versions of the adapters that an engine holds, by name.
-  std::map<std::string, int> held(const std::string &Id) const;
+  std::map<std::string, int> held(const std::string &Name) const;
 
   struct State;
 
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -3,6 +3,7 @@
 #include "testing/process.h"
 
 #include <chrono>
+#include <filesystem>
 #include <fstream>
 #include <set>
 #include <stdexcept>
@@ -35,6 +36,8 @@
   posix_spawn_file_actions_addopen(&Actions, STDOUT_FILENO, Output.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Actions, STDOUT_FILENO, STDERR_FILENO);
+  // The child would keep this process's sockets open beyond their end here.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   const int Error = posix_spawn(&Id, Arguments[0], &Actions, nullptr,
                                 Arguments.data(), environ);
   posix_spawn_file_actions_destroy(&Actions);
@@ -91,6 +94,26 @@
   return Ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
+double Process::peakMemoryMb() const {
+  std::ifstream In("/proc/" + std::to_string(Id) + "/status");
+  std::string Word;
+  while (In >> Word)
+    if (Word == "VmHWM:") {
+      double Kilobytes = 0;
+      In >> Kilobytes;
+      return Kilobytes / 1024;
+    }
+  return 0;
+}
+
+size_t Process::openFiles() const {
+  std::error_code Ended;
+  const std::filesystem::directory_iterator Files(
+      "/proc/" + std::to_string(Id) + "/fd", Ended);
+  return Ended ? 0
+               : static_cast<size_t>(std::distance(begin(Files), end(Files)));
+}
+
 int freePort() {
   static std::set<int> Given;
   for (;;) {
--- a/testing/process.h
+++ b/testing/process.h
@@ -30,6 +30,10 @@
   bool running();
   /// Processor time that it has used so far, in seconds.
   double processorSeconds() const;
+  /// The most memory that it has had resident, in MB; 0 if it has ended.
+  double peakMemoryMb() const;
+  /// Files and sockets that it has open; 0 if it has ended.
+  size_t openFiles() const;
 
 private:
   pid_t Id = -1;
