--- /dev/null
+++ b/scripts/try-mutations.sh
@@ -0,0 +1,35 @@
+#!/usr/bin/env bash
+# Applies each change of testing/mutations.txt to a copy of the sources, one at
+# a time, and runs the tests that must notice. Prints one line each; fails if a
+# change goes unnoticed. By hand only: it builds once whole, then per change.
+#   scripts/try-mutations.sh [COPY]   COPY is kept for the next time if given
+set -euo pipefail
+cd "$(dirname "$0")/.."
+Copy=${1:-$(mktemp -d)}
+[ $# -gt 0 ] || trap 'rm -rf "$Copy"' EXIT
+mkdir -p "$Copy"
+git ls-files -z | grep -zv '^journal/' | xargs -0 cp --parents -t "$Copy"
+cmake -S "$Copy" -B "$Copy/build" -G Ninja >/dev/null
+cmake --build "$Copy/build" >/dev/null
+Unnoticed=0
+while IFS='|' read -r Name File Change Tests; do
+  [[ -z "$Name" || "$Name" == \#* ]] && continue
+  File=${File// /}
+  Tests=${Tests// /}
+  cp "$File" "$Copy/$File.whole"
+  perl -0pi -e "${Change# }" "$Copy/$File"
+  if cmp -s "$Copy/$File" "$Copy/$File.whole"; then
+    Verdict="NOT APPLIED"
+  elif ! cmake --build "$Copy/build" --target "$Tests" >/dev/null 2>&1; then
+    Verdict="DOES NOT BUILD"
+  elif (cd "$Copy/build" && timeout 600 "./$Tests" >/dev/null 2>&1); then
+    Verdict="UNNOTICED"
+  else
+    Verdict="red"
+  fi
+  [ "$Verdict" = red ] || Unnoticed=1
+  printf '%-40s %-24s %s\n' "$Name" "$Tests" "$Verdict"
+  mv "$Copy/$File.whole" "$Copy/$File"
+  touch "$Copy/$File"
+done < <(sed 's/ | /|/g' testing/mutations.txt)
+exit $Unnoticed
