Homes of an adapter follow a sudden rise in demand; beliefs in the metrics

Logs of six entries: an adapter that turns popular at 14 s brought 70 requests, 2.5 s of reading, to the one engine that held it within a second, and 19 of 35 of them ran to their caller's deadline; its demand, averaged over five seconds, asked for one home until it was too late.

Change: demand has a quick mean over 0.7 s beside the slow one, and counts from 18 arrivals at all entries on; fewer are chance. A test plays the rise and fails without it. Entries and sides serve what they believe as metrics (configuration, revisions, upstreams, contact with the store), checked in the process test.

--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -33,10 +33,10 @@
                 {[this] { beginStop(); },
                  [this](const Settings &New) { S = New; },
                  [this](std::function<void(std::string)> Done) {
-                   Traffic.metrics([this, Done](std::string Page) {
-                     Done(Page + "goldcrestlink_store_calls_total " +
-                          std::to_string(StoreCalls) + "\n");
-                   });
+                   Traffic.metrics(
+                       [Done, Own = beliefMetrics()](const std::string &Page) {
+                         Done(Page + Own);
+                       });
                  }}),
         Traffic(S, Seed,
                 {[this](LineClass Class, std::string Line) {
@@ -69,8 +69,28 @@
   }
 
 private:
+  // What the process believes of the deployment, and its cost.
+  std::string beliefMetrics() const {
+    const Catalog &C = Follower.catalog();
+    size_t Draining = 0;
+    for (const auto &[Id, U] : C.upstreams())
+      Draining += U.Draining ? 1 : 0;
+    const std::pair<const char *, uint64_t> Gauges[] = {
+        {"store_calls_total", Follower.storeCalls()},
+        {"store_reached", Follower.inContact() ? 1 : 0},
+        {"config_version", C.revisions().Config},
+        {"upstreams_revision", C.revisions().Upstreams},
+        {"releases_revision", C.revisions().Releases},
+        {"upstreams_draining", Draining},
+        {"upstreams_ready", C.upstreams().size() - Draining}};
+    std::string Out;
+    for (const auto &[Name, Value] : Gauges)
+      Out += std::string("goldcrestlink_") + Name + " " +
+             std::to_string(Value) + "\n";
+    return Out;
+  }
+
   void publish() {
-    StoreCalls = Follower.storeCalls();
     Traffic.publish(std::make_shared<const Catalog>(Follower.catalog()));
   }
 
@@ -86,7 +106,6 @@
   EntryTraffic Traffic;
   StoreFollower Follower;
   PlannedStop Stop;
-  std::atomic<uint64_t> StoreCalls{0};
 };
 
 } // namespace
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -328,10 +328,14 @@
            "\ngoldcrestlink_adapter_loads_total " +
            std::to_string(Admission.loadsOrdered()) +
            "\ngoldcrestlink_evictions_total " +
-           std::to_string(Admission.evictions()) + "\ngoldcrestlink_waiting " +
-           std::to_string(Admission.waiting()) + "\ngoldcrestlink_granted " +
-           std::to_string(Admission.granted()) + "\ngoldcrestlink_entries " +
-           std::to_string(LastHeard.size()) + "\n";
+           std::to_string(Admission.evictions()) +
+           "\ngoldcrestlink_config_version " +
+           std::to_string(Believed.revisions().Config) +
+           "\ngoldcrestlink_adapters_held " +
+           std::to_string(Admission.load(now()).Held.size()) +
+           "\ngoldcrestlink_waiting " + std::to_string(Admission.waiting()) +
+           "\ngoldcrestlink_granted " + std::to_string(Admission.granted()) +
+           "\ngoldcrestlink_entries " + std::to_string(LastHeard.size()) + "\n";
   }
 
   Settings S;
--- a/forward/engine_board.cc
+++ b/forward/engine_board.cc
@@ -15,6 +15,10 @@
 namespace {
 // Time constant over which demand is averaged.
 constexpr double DemandSeconds = 5.0;
+// A rise is seen over this time, from this many arrivals at all entries on;
+// fewer may be chance.
+constexpr double QuickSeconds = 0.7;
+constexpr double ChanceArrivals = 18;
 // One large prompt is no sign of lasting demand.
 constexpr uint32_t MaxDemandTokens = 1500;
 constexpr double DefaultPrefillRate = 20;
@@ -44,16 +48,25 @@
   if (Demands.size() >= Opts.maxAdapters())
     return;
   Demand &D = Demands[adapterName(Want.Model, Want.Adapter)];
-  D.TokenRate = D.TokenRate * decay(N - D.At, DemandSeconds) +
-                std::min(Want.PromptTokens, MaxDemandTokens) / DemandSeconds;
+  const double Tokens = std::min(Want.PromptTokens, MaxDemandTokens);
+  const double QuickLeft = decay(N - D.At, QuickSeconds);
+  D.TokenRate =
+      D.TokenRate * decay(N - D.At, DemandSeconds) + Tokens / DemandSeconds;
+  D.QuickCount = D.QuickCount * QuickLeft + 1;
+  D.QuickTokens = D.QuickTokens * QuickLeft + Tokens;
   D.At = N;
 }
 
 double EngineBoard::tokenRate(Time N, const std::string &Name) const {
   const auto It = Demands.find(Name);
-  return It == Demands.end()
-             ? 0
-             : It->second.TokenRate * decay(N - It->second.At, DemandSeconds);
+  if (It == Demands.end())
+    return 0;
+  const Demand &D = It->second;
+  const double QuickLeft = decay(N - D.At, QuickSeconds);
+  const double Count = D.QuickCount * QuickLeft * static_cast<double>(Entries);
+  const double Quick = D.QuickTokens * QuickLeft / QuickSeconds *
+                       std::max(0.0, 1 - ChanceArrivals / std::max(Count, 1.0));
+  return std::max(D.TokenRate * decay(N - D.At, DemandSeconds), Quick);
 }
 
 void EngineBoard::onSent(Time N, const std::string &Id,
--- a/forward/engine_board.h
+++ b/forward/engine_board.h
@@ -140,9 +140,14 @@
     UpstreamHealth Health;
     Time SilentUntil{};
   };
+  // At this entry. The quick mean sees a rise within a second; what chance
+  // may give does not count.
   struct Demand {
-    // Prompt tokens per second at this entry.
+    // Prompt tokens per second over DemandSeconds.
     double TokenRate = 0;
+    // Arrivals, and their prompt tokens, over QuickSeconds.
+    double QuickCount = 0;
+    double QuickTokens = 0;
     Time At{};
   };
 
--- a/forward/testing/parts_test.cc
+++ b/forward/testing/parts_test.cc
@@ -126,6 +126,21 @@
   CHECK(Board.homes(at(60000), Want) == 1);
 }
 
+TEST_CASE("a sudden rise in demand brings homes within a second") {
+  EngineBoard Board(EngineBoard::Options().setDataCentre("here"));
+  Board.setEntries(12);
+  const EngineWant Hot{"m", "hot", 0, 600};
+  const EngineWant Cold{"m", "cold", 0, 600};
+  // Ten a second at each of twelve entries are the time of four engines.
+  for (int I = 0; I < 10; ++I)
+    Board.onDemand(at(I * 100), Hot);
+  CHECK(Board.homes(at(1000), Hot) >= 4);
+  // Two by chance are no rise, however many entries there are.
+  for (int I = 0; I < 2; ++I)
+    Board.onDemand(at(I * 100), Cold);
+  CHECK(Board.homes(at(200), Cold) <= 2);
+}
+
 TEST_CASE("plain calls go to the least loaded, within this entry's share") {
   const UpstreamRecord A = upstream("a", "here");
   const UpstreamRecord B = upstream("b", "here");
--- a/scripts/try-mutations.sh
+++ b/scripts/try-mutations.sh
@@ -12,7 +12,7 @@
 cmake -S "$Copy" -B "$Copy/build" -G Ninja >/dev/null
 cmake --build "$Copy/build" >/dev/null
 Unnoticed=0
-while IFS='|' read -r Name File Change Tests; do
+while IFS='@' read -r Name File Change Tests; do
   [[ -z "$Name" || "$Name" == \#* ]] && continue
   File=${File// /}
   Tests=${Tests// /}
@@ -31,5 +31,5 @@
   printf '%-40s %-24s %s\n' "$Name" "$Tests" "$Verdict"
   mv "$Copy/$File.whole" "$Copy/$File"
   touch "$Copy/$File"
-done < <(sed 's/ | /|/g' testing/mutations.txt)
+done < <(sed 's/ @ /@/g' testing/mutations.txt)
 exit $Unnoticed
--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -4,6 +4,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <thread>
 
 #include "http/client.h"
@@ -84,6 +85,20 @@
     }
   }
 
+  // The value of a metric of the process at \p Host; empty if it has none.
+  std::string metric(const std::string &Host, const std::string &Name) const {
+    http::Request R;
+    R.Target = "/metrics";
+    const http::Response Page =
+        http::fetchNow({Host, static_cast<uint16_t>(MetricsPort)}, std::move(R),
+                       http::CallOptions());
+    std::istringstream Lines(Page.Body);
+    for (std::string Found, Value; Lines >> Found;)
+      if (Found == Name && Lines >> Value)
+        return Value;
+    return "";
+  }
+
   // Until it is served: entries learn of sides and engines as they come up.
   bool servedSoon(size_t Entry, const std::string &Target,
                   const std::string &Adapter = "") {
@@ -199,6 +214,12 @@
         eventually([&] { return D.call(Entry, "/extra/x").Head.Status == 404; },
                    Patience));
 
+  // Sides learn it from entries.
+  for (const char *Host : {"127.0.2.1", "127.0.2.2", "127.0.1.1", "127.0.1.2"})
+    CHECK(eventually(
+        [&] { return D.metric(Host, "goldcrestlink_config_version") == "3"; },
+        Patience));
+
   D.Platform.release("a1", 2);
   CHECK(eventually(
       [&] {
