--- a/bench/scenario.cc
+++ b/bench/scenario.cc
@@ -17,6 +17,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
+#include "bench/scenario_report.h"
 #include "bench/workload.h"
 #include "http/client.h"
 #include "testing/fleet.h"
@@ -52,29 +53,6 @@
   uint64_t Seed = 1;
 };
 
-// What became of one request.
-struct Result {
-  size_t Rank = 0;
-  double At = 0;
-  double FirstByte = -1;
-  double Total = -1;
-  unsigned Status = 0;
-  std::string Code;
-  std::string Outcome;
-  bool Whole = false;
-  bool Ended = false;
-  std::string Tag;
-  uint32_t Tokens = 0;
-};
-
-double percentile(std::vector<double> Values, double P) {
-  if (Values.empty())
-    return 0;
-  std::sort(Values.begin(), Values.end());
-  const double Where = P * static_cast<double>(Values.size() - 1);
-  return Values[static_cast<size_t>(std::lround(Where))];
-}
-
 std::string strategyText(const std::string &Strategy) {
   if (Strategy == "ours")
     return {};
@@ -98,11 +76,11 @@
       at(A.At, [this, A] { send(A); });
     scheduleOrders();
     scheduleEvents();
-    at(0, [this] { EngineBefore = engineCounts(); });
-    at(CountedSeconds, [this] { EngineAfter = engineCounts(); });
+    at(0, [this] { Seen.EngineBefore = engineCounts(); });
+    at(CountedSeconds, [this] { Seen.EngineAfter = engineCounts(); });
     Io.run();
     report();
-    return Violations.empty() ? 0 : 1;
+    return Seen.Violations.empty() ? 0 : 1;
   }
 
 private:
@@ -218,7 +196,7 @@
 
   void send(const Arrival &A) {
     const bool First = Requested.insert(A.Adapter).second;
-    FirstRequests += First && A.At >= 0 ? 1 : 0;
+    Seen.FirstRequests += First && A.At >= 0 ? 1 : 0;
     auto R = std::make_shared<Result>();
     R->Rank = A.Rank;
     R->At = A.At;
@@ -227,7 +205,7 @@
     const std::string Model = "a" + std::to_string(A.Adapter) + "@1";
     start(R, completion(Model, R->Tag, "report " + R->Tag, A.Tokens, A.Rank),
           Counter % Fleet.Entries.size(), Model);
-    Results.push_back(R);
+    Seen.Results.push_back(R);
   }
 
   void sendPoison(size_t I) {
@@ -273,7 +251,7 @@
     R.Ended = true;
     R.Total = seconds(presentTime().Steady - Read.Sent);
     if (R.Total > RankDeadline[R.Rank] + HangGraceSeconds - 1)
-      Violations.push_back("hang " + R.Tag);
+      Seen.Violations.push_back("hang " + R.Tag);
     if (R.Status != 200) {
       const auto Json = nlohmann::json::parse(Read.Body, nullptr, false);
       if (Json.is_object() && Json.contains("error")) {
@@ -306,9 +284,9 @@
                  Json["choices"][0]["text"] != Expected;
     }
     if (Foreign)
-      Violations.push_back("foreign answer " + R.Tag);
+      Seen.Violations.push_back("foreign answer " + R.Tag);
     if (Ended && Done && Tokens != R.Tokens)
-      Violations.push_back("answer not whole " + R.Tag);
+      Seen.Violations.push_back("answer not whole " + R.Tag);
     R.Whole = Ended && Done && Tokens == R.Tokens;
     if (!R.Whole && R.Code.empty())
       R.Code = "cut";
@@ -348,25 +326,25 @@
                 {"X-Application", "desk"}};
     R.Body = O->Key;
     const Time Sent = presentTime().Steady;
-    Client.fetch(Fleet.Entries[Entry].Http, std::move(R),
-                 http::CallOptions().setFreshConnection(true),
-                 [this, O, At, Sent](const http::Response *A, http::CallError) {
-                   std::string End = "no_answer";
-                   if (A && A->Head.Status == 200) {
-                     End = "ok";
-                   } else if (A) {
-                     const auto Json =
-                         nlohmann::json::parse(A->Body, nullptr, false);
-                     if (Json.is_object() && Json.contains("error")) {
-                       End = Json["error"].value("code", "") + "/" +
-                             Json["error"].value("outcome", "");
-                     }
-                   }
-                   if (End == "ok")
-                     OrderTimes.push_back(seconds(presentTime().Steady - Sent));
-                   if (At >= 0)
-                     ++OrderEnds[End];
-                 });
+    Client.fetch(
+        Fleet.Entries[Entry].Http, std::move(R),
+        http::CallOptions().setFreshConnection(true),
+        [this, O, At, Sent](const http::Response *A, http::CallError) {
+          std::string End = "no_answer";
+          if (A && A->Head.Status == 200) {
+            End = "ok";
+          } else if (A) {
+            const auto Json = nlohmann::json::parse(A->Body, nullptr, false);
+            if (Json.is_object() && Json.contains("error")) {
+              End = Json["error"].value("code", "") + "/" +
+                    Json["error"].value("outcome", "");
+            }
+          }
+          if (End == "ok")
+            Seen.OrderTimes.push_back(seconds(presentTime().Steady - Sent));
+          if (At >= 0)
+            ++Seen.OrderEnds[End];
+        });
   }
 
   std::map<std::string, double> engineCounts() {
@@ -390,11 +368,11 @@
     std::set<std::string> Ran;
     for (const std::string &Tag : Fleet.runs(Fleet.Engines))
       Ran.insert(Tag);
-    for (const auto &R : Results) {
+    for (const auto &R : Seen.Results) {
       if (!R->Ended)
-        Violations.push_back("no end " + R->Tag);
+        Seen.Violations.push_back("no end " + R->Tag);
       if (R->Outcome == "not_run" && Ran.count(R->Tag))
-        Violations.push_back("not_run but ran " + R->Tag);
+        Seen.Violations.push_back("not_run but ran " + R->Tag);
     }
     for (const std::string &Line : Fleet.runs(Fleet.Services)) {
       const size_t Space = Line.rfind(' ');
@@ -402,93 +380,26 @@
       if (Key.rfind("order-", 0) != 0)
         continue;
       if (std::atoi(Line.c_str() + Space) > 1)
-        Violations.push_back("ran twice " + Key);
+        Seen.Violations.push_back("ran twice " + Key);
     }
     const auto Now = engineCounts();
     if (Now.at("violations") > 0)
-      Violations.push_back("evicted while serving");
+      Seen.Violations.push_back("evicted while serving");
   }
 
   void report() {
     checkPromises();
-    std::printf("scenario %s strategy %s deployment %s seed %llu\n",
-                S.Name.c_str(), S.Strategy.c_str(), S.Deployment.c_str(),
-                static_cast<unsigned long long>(S.Seed));
-    std::printf("bounds: compute %.1f/s store %.1f/s; offered mix %.1f/s\n",
-                ComputeBound,
-                Fleet.Shape.StoreRate /
-                    (1 - popularShare(Spec, ResidentAdapters)),
-                Spec.RequestsPerSecond);
-    double Goodput = 0;
-    std::printf("%-9s %8s %8s %7s %8s %8s %8s %8s %9s  ends\n", "rank",
-                "offered", "in_time", "share", "p50", "p99", "first50",
-                "first99", "in_flood");
-    for (size_t Rank = 0; Rank < Ranks; ++Rank)
-      Goodput += reportRank(Rank);
-    const auto Delta = [&](const std::string &Name) {
-      return EngineAfter[Name] - EngineBefore[Name];
-    };
-    double Requests = 0;
-    for (const auto &R : Results)
-      Requests += R->At >= 0 ? 1 : 0;
-    std::printf("goodput %.2f/s (%.2f of the lower bound)\n",
-                Goodput / CountedSeconds,
-                Goodput / CountedSeconds / lowerBound());
-    std::printf("loads per 100 requests %.1f; stall seconds per request %.3f; "
-                "sequences per step %.2f; adapters per step %.2f; crashes "
-                "%.0f\n",
-                100 * Delta("loads") / Requests,
-                Delta("goldcrestlink_side_stalled_us_total") / 1e6 / Requests,
-                Delta("sequence_steps") / Delta("steps"),
-                Delta("adapter_steps") / Delta("steps"),
-                EngineAfter["crashes"]);
-    std::printf(
-        "first requests for an adapter since the start, per 100: %.1f\n",
-        100 * FirstRequests / Requests);
-    std::printf("work orders:");
-    for (const auto &[End, Count] : OrderEnds)
-      std::printf(" %s=%zu", End.c_str(), Count);
-    std::printf(" p50 %.3f p99 %.3f\n", percentile(OrderTimes, 0.5),
-                percentile(OrderTimes, 0.99));
-    std::printf("violations: %zu\n", Violations.size());
-    for (const std::string &V : Violations)
-      std::printf("  %s\n", V.c_str());
-  }
-
-  double reportRank(size_t Rank) {
-    std::vector<double> Totals;
-    std::vector<double> Firsts;
-    std::map<std::string, size_t> Ends;
-    double Offered = 0;
-    double InTime = 0;
-    double FloodOffered = 0;
-    double FloodInTime = 0;
-    for (const auto &R : Results) {
-      if (R->Rank != Rank || R->At < 0)
-        continue;
-      const bool Good = R->Whole && R->Total <= RankTarget[Rank];
-      const bool InFlood = R->At >= 15 && R->At < 45;
-      Offered += 1;
-      InTime += Good ? 1 : 0;
-      FloodOffered += InFlood ? 1 : 0;
-      FloodInTime += InFlood && Good ? 1 : 0;
-      if (R->Whole) {
-        Totals.push_back(R->Total);
-        Firsts.push_back(R->FirstByte);
-      } else {
-        ++Ends[R->Code + "/" + R->Outcome];
-      }
-    }
-    std::printf(
-        "%-9s %8.0f %8.0f %6.1f%% %8.2f %8.2f %8.2f %8.2f %5.1f%%/%.0f ",
-        RankNames[Rank], Offered, InTime, 100 * InTime / Offered,
-        percentile(Totals, 0.5), percentile(Totals, 0.99),
-        percentile(Firsts, 0.5), percentile(Firsts, 0.99),
-        100 * FloodInTime / std::max(FloodOffered, 1.0), FloodInTime);
-    for (const auto &[End, Count] : Ends)
-      std::printf(" %s=%zu", End.c_str(), Count);
-    std::printf("\n");
-    return InTime;
+    ScenarioHead Head;
+    Head.Name = S.Name;
+    Head.Strategy = S.Strategy;
+    Head.Deployment = S.Deployment;
+    Head.Seed = S.Seed;
+    Head.ComputeBound = ComputeBound;
+    Head.StoreBound =
+        Fleet.Shape.StoreRate / (1 - popularShare(Spec, ResidentAdapters));
+    Head.RequestsPerSecond = Spec.RequestsPerSecond;
+    Head.CountedSeconds = CountedSeconds;
+    printReport(Head, Seen);
   }
 
   Setup S;
@@ -498,16 +409,10 @@
   http::Client Client;
   Random Rand;
   Time Start{};
-  std::vector<std::shared_ptr<Result>> Results;
-  std::vector<std::string> Violations;
-  std::map<std::string, size_t> OrderEnds;
-  std::vector<double> OrderTimes;
-  std::map<std::string, double> EngineBefore;
-  std::map<std::string, double> EngineAfter;
+  ScenarioRecord Seen;
   /// Adapters asked for so far, and first requests that are counted: no
   /// strategy can serve those without a load.
   std::set<size_t> Requested;
-  double FirstRequests = 0;
   uint64_t Counter = 0;
   uint64_t OrderCounter = 0;
 };
