--- a/scripts/try-mutations.sh
+++ b/scripts/try-mutations.sh
@@ -10,7 +10,7 @@
 mkdir -p "$Copy"
 git ls-files -z | grep -zv '^journal/' | xargs -0 cp --parents -t "$Copy"
 cmake -S "$Copy" -B "$Copy/build" -G Ninja >/dev/null
-cmake --build "$Copy/build" >/dev/null
+cmake --build "$Copy/build" -j "${JOBS:-4}" >/dev/null
 Unnoticed=0
 while IFS='@' read -r Name File Change Tests; do
   [[ -z "$Name" || "$Name" == \#* ]] && continue
@@ -20,7 +20,7 @@
   perl -0pi -e "${Change# }" "$Copy/$File"
   if cmp -s "$Copy/$File" "$Copy/$File.whole"; then
     Verdict="NOT APPLIED"
-  elif ! cmake --build "$Copy/build" --target "$Tests" >/dev/null 2>&1; then
+  elif ! cmake --build "$Copy/build" -j "${JOBS:-4}" --target "$Tests" >/dev/null 2>&1; then
     Verdict="DOES NOT BUILD"
   elif (cd "$Copy/build" && timeout 600 "./$Tests" >/dev/null 2>&1); then
     Verdict="UNNOTICED"
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -1,6 +1,6 @@
-// A storm is a number of episodes that begin at random moments and last for
-// random times, so that they overlap; each ends within the storm. One episode
-// in three repeats its kind on the same target soon after, as a series.
+// The fault phase is a number of episodes that begin at random moments and last
+// for random times, so that they overlap; each ends within the phase. One
+// episode in three repeats its kind on the same target soon after, as a series.
 #include "soak/schedule.h"
 
 #include <algorithm>
@@ -38,11 +38,11 @@
 public:
   Drawing(uint64_t Seed, const Shape &Of) : Luck(Seed), Of(Of) {}
 
-  std::vector<Step> storm() {
+  std::vector<Step> faults() {
     Steps.clear();
     const int Count = between(MinEpisodes, MaxEpisodes);
     for (int I = 0; I < Count; ++I) {
-      const Duration Begin = randomTime(StormTime * 3 / 4);
+      const Duration Begin = randomTime(FaultTime * 3 / 4);
       const auto Episode = Episodes[Luck.below(Episodes.size())];
       const size_t Target = Luck.next() >> 8;
       (this->*Episode)(Begin, Target);
@@ -92,7 +92,7 @@
 
   Duration end(Duration Begin) {
     return std::min<Duration>(
-        Begin + milliseconds(between(MinLastsMs, MaxLastsMs)), StormTime);
+        Begin + milliseconds(between(MinLastsMs, MaxLastsMs)), FaultTime);
   }
 
   void add(Duration At, Action What, size_t Target = 0, int Variant = 0) {
@@ -198,7 +198,7 @@
   Schedule Out;
   for (size_t I = 0; I < Rounds; ++I) {
     Round R;
-    R.Storm = D.storm();
+    R.Faults = D.faults();
     R.Planned = D.planned();
     Out.push_back(std::move(R));
   }
@@ -208,7 +208,7 @@
 std::string describe(const Schedule &S) {
   std::ostringstream Out;
   for (const Round &R : S) {
-    describePhase(Out, "storm", R.Storm);
+    describePhase(Out, "faults", R.Faults);
     describePhase(Out, "planned", R.Planned);
   }
   return Out.str();
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -20,6 +20,8 @@
   size_t Entries = 3;
   size_t Engines = 4;
   size_t Plains = 2;
+  /// How long an entry may take to stop; the deployments' sheets say 8.
+  int StopSeconds = 8;
 
   /// Processes under test: entries first, then a side per engine.
   size_t processes() const { return Entries + Engines; }
@@ -78,14 +80,14 @@
 
 /// Steps in the order of their time.
 struct Round {
-  std::vector<Step> Storm;
+  std::vector<Step> Faults;
   std::vector<Step> Planned;
 };
 
 using Schedule = std::vector<Round>;
 
 /// How long faults go on, and planned work with what follows from it.
-constexpr Duration StormTime = std::chrono::seconds(6);
+constexpr Duration FaultTime = std::chrono::seconds(6);
 constexpr Duration PlannedTime = std::chrono::seconds(10);
 
 Schedule drawSchedule(uint64_t Seed, const Shape &Of, size_t Rounds);
--- a/soak/soak.cc
+++ b/soak/soak.cc
@@ -3,19 +3,18 @@
 //   build/soak --seed 7 --rounds 2
 //   build/soak --seed 1 --seeds 50
 //
-// Each round has a storm of overlapping faults, a wait until all entries serve
-// again, and planned work with nothing else going on. Exits with 1 if a promise
-// was broken; then the folder with logs and settings stays.
+// Each round has overlapping faults, a wait until all entries serve again, and
+// planned work with nothing else going on. Exits with 1 if a promise was
+// broken; then the folder with logs and settings stays.
 #include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <sstream>
 
+#include <CLI/CLI.hpp>
 #include <unistd.h>
 
-#include "CLI/CLI.hpp"
-
 #include "soak/fleet_under_test.h"
 
 namespace goldcrestlink::soak {
@@ -24,8 +23,10 @@
 
 // The platform's own time for machines to be back after a fault.
 constexpr double RecoverSeconds = 12;
-// Where bounds in time are not judged.
+// Where bounds in time are not judged, what has to come is awaited this long,
+// so that a busy machine does not change the verdict.
 constexpr double UntimedPatience = 120;
+constexpr int UntimedSeconds = 60;
 // After the last fault, until the platform counts a machine as in touch.
 constexpr int ContactMs = 3000;
 constexpr int RetryStepMs = 100;
@@ -47,19 +48,18 @@
   Soak(const Options &O, const std::filesystem::path &Folder)
       : O(O), Plan(drawSchedule(O.Seed, O.Of, O.Rounds)),
         Judge(OracleBounds{.Timed = !O.Untimed}), Fleet(O.Of, Judge, Folder),
-        Load(Fleet.entries(), Judge, O.Seed, CallersOptions().setRate(O.Rate)) {
-  }
+        Load(Fleet.entries(), Judge, O.Seed, callersOptions(O)) {}
 
   std::vector<std::string> run() {
     awaitServed();
     for (const Round &R : Plan) {
-      play(R.Storm, StormTime);
+      play(R.Faults, FaultTime);
       Fleet.healAll(now(), Load);
       awaitServed();
       testing::pauseFor(ContactMs);
-      Judge.beginCalm(now());
+      Judge.beginUndisturbed(now());
       play(R.Planned, PlannedTime);
-      Judge.endCalm();
+      Judge.endUndisturbed();
       Fleet.healAll(now(), Load);
     }
     Load.stop();
@@ -68,11 +68,20 @@
     Judge.finish();
     for (const auto &[Outcome, Count] : Judge.outcomes())
       std::cout << "outcome " << Outcome << " calls=" << Count << "\n";
-    std::cout << "served share in calm: " << Judge.servedShareInCalm() << "\n";
+    std::cout << "served share while undisturbed: "
+              << Judge.servedShareUndisturbed() << "\n";
     return Judge.violations();
   }
 
 private:
+  static CallersOptions callersOptions(const Options &O) {
+    CallersOptions Out;
+    Out.setRate(O.Rate);
+    if (O.Untimed)
+      Out.setPatience(std::chrono::seconds(UntimedSeconds));
+    return Out;
+  }
+
   static Time now() { return presentTime().Steady; }
 
   // A step that cannot be carried out yet is tried again, behind those due.
@@ -188,7 +197,7 @@
   CLI::App App("Fault soak of the programs in the present folder");
   App.add_option("--seed", O.Seed, "first seed");
   App.add_option("--seeds", O.Seeds, "how many seeds, one after another");
-  App.add_option("--rounds", O.Rounds, "storms in each");
+  App.add_option("--rounds", O.Rounds, "rounds in each");
   App.add_option("--entries", O.Of.Entries)->check(CLI::Range(1, 250));
   App.add_option("--engines", O.Of.Engines)->check(CLI::Range(1, 250));
   App.add_option("--plains", O.Of.Plains)->check(CLI::Range(1, 250));
@@ -199,6 +208,8 @@
   App.add_option("--list", O.List, "file of seeds and rounds to run");
   App.add_option("--folder", O.Folder, "for logs; removed where all is well");
   CLI11_PARSE(App, Count, Arguments);
+  if (O.Untimed)
+    O.Of.StopSeconds = goldcrestlink::soak::UntimedSeconds;
   try {
     return goldcrestlink::soak::run(O);
   } catch (const std::exception &Bad) {
