Stand-in upstream: no optional time, at which the lint does not end

Ruled out: the machine's load, since it alone was left running. Change: the time of leaving is Time{} where there is none. Behaviour as before.

--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -149,7 +149,7 @@
 
 void PlatformStandIn::restore(const std::string &Name) {
   onThread([&] {
-    Shared->at(Name).setLeaving(std::nullopt);
+    Shared->at(Name).setLeaving(Time{});
     Shared->enter(Shared->at(Name));
   });
 }
@@ -190,7 +190,7 @@
     if (!Id.empty() && Id != Before)
       Shared->Store.erase("servers", Before);
     U.start(Id.empty() ? Before : Id);
-    U.setLeaving(std::nullopt);
+    U.setLeaving(Time{});
     Shared->enter(U);
     return true;
   });
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -253,8 +253,8 @@
   if (const auto It = Shared.Releases.find(Adapter);
       It != Shared.Releases.end() && Version < It->second.Version)
     Out.Outdated = Out.At - It->second.Since;
-  if (LeavingSince)
-    Out.Leaving = Out.At - *LeavingSince;
+  if (leaving())
+    Out.Leaving = Out.At - LeavingSince;
   Shared.Observer->onRun(Out);
 }
 
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -10,7 +10,6 @@
 
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -108,9 +107,9 @@
   void forget();
   bool running() const { return Server != nullptr; }
   void setFault(UpstreamFault F) { Fault = F; }
-  /// Since when its entry says that it leaves; none if it does not.
-  void setLeaving(std::optional<Time> Since) { LeavingSince = Since; }
-  bool leaving() const { return LeavingSince.has_value(); }
+  /// Since when its entry says that it leaves; Time{} if it does not.
+  void setLeaving(Time Since) { LeavingSince = Since; }
+  bool leaving() const { return LeavingSince != Time{}; }
 
   const Spec &spec() const { return S; }
   const UpstreamTally &tally() const { return Tally; }
@@ -153,7 +152,7 @@
   std::vector<Answer> Unanswered;
   UpstreamTally Tally;
   UpstreamFault Fault = UpstreamFault::None;
-  std::optional<Time> LeavingSince;
+  Time LeavingSince{};
   bool HasBase = true;
   uint64_t Born = 1;
   uint64_t OrderCount = 0;
