Stand-ins and proxy share one call across threads; one count of adapters

Cause: posting a task to an io_context and waiting for it stood in the platform stand-in and in the soak's proxy alike, and the number of adapters in the schedule and in the callers. Change: testing::callOn, soak::AdapterCount.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -12,6 +12,7 @@
 
 #include "base/random.h"
 #include "http/client.h"
+#include "soak/schedule.h"
 #include "testing/standin_support.h"
 
 namespace goldcrestlink::soak {
@@ -21,7 +22,6 @@
 namespace {
 
 constexpr auto SendInterval = std::chrono::milliseconds(10);
-constexpr size_t Adapters = 12;
 // Shares of the kinds, in percent; the rest are streams.
 constexpr uint64_t OnceShare = 25;
 constexpr uint64_t ReadShare = 25;
@@ -94,7 +94,7 @@
   // Few adapters get most calls.
   std::string drawAdapter() {
     const double U = Luck.unit();
-    return "a" + std::to_string(static_cast<size_t>(U * U * Adapters));
+    return "a" + std::to_string(static_cast<size_t>(U * U * AdapterCount));
   }
 
   void send(size_t Entry, CallKind Kind, std::function<void(bool)> Done) {
--- a/soak/loopback_proxy.cc
+++ b/soak/loopback_proxy.cc
@@ -4,13 +4,11 @@
 #include "soak/loopback_proxy.h"
 
 #include <array>
-#include <future>
 #include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
 #include "testing/standin_support.h"
@@ -162,10 +160,7 @@
   }
 
   template <class F> auto onThread(F Do) {
-    std::packaged_task<decltype(Do())()> Task(std::move(Do));
-    auto Result = Task.get_future();
-    asio::post(Io, [&Task] { Task(); });
-    return Result.get();
+    return testing::callOn(Io, std::move(Do));
   }
 
   template <class F> void onRelays(size_t Link, F Do) {
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -27,7 +27,6 @@
     "garbage",         "release",         "configure",      "burst",
     "burst_over"};
 
-constexpr size_t Adapters = 12;
 constexpr int MinEpisodes = 4;
 constexpr int MaxEpisodes = 14;
 constexpr int MinLastsMs = 200;
@@ -59,7 +58,7 @@
     const size_t Process = Luck.below(Of.processes());
     add(milliseconds(200), Action::Configure, 0, between(0, 1));
     const int Released = between(300, 2000);
-    add(milliseconds(Released), Action::Release, Luck.below(Adapters));
+    add(milliseconds(Released), Action::Release, Luck.below(AdapterCount));
     const int Reloaded = between(300, 2500);
     add(milliseconds(Reloaded), Action::Reload, Luck.below(Of.processes()));
     const int Drained = between(300, 2500);
@@ -159,7 +158,7 @@
   }
   void garbage(Duration Begin, size_t) { add(Begin, Action::Garbage); }
   void release(Duration Begin, size_t Target) {
-    add(Begin, Action::Release, Target % Adapters);
+    add(Begin, Action::Release, Target % AdapterCount);
   }
   void configure(Duration Begin, size_t) {
     add(Begin, Action::Configure, 0, between(0, 1));
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -33,6 +33,9 @@
   size_t upstreams() const { return Engines + Plains; }
 };
 
+/// Adapters "a0" and so on that callers ask for and releases are drawn from.
+constexpr size_t AdapterCount = 12;
+
 /// Target counts processes, links, upstreams or adapters, by the action.
 enum class Action {
   // Links; Variant of LinkFaulty is a LinkFault.
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -2,13 +2,13 @@
 // and waited for.
 #include "testing/platform_standin.h"
 
-#include <future>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "testing/standin_support.h"
+
 namespace goldcrestlink::testing {
 
 using Json = nlohmann::json;
@@ -97,10 +97,7 @@
 };
 
 template <class F> auto PlatformStandIn::onThread(F Do) const {
-  std::packaged_task<decltype(Do())()> Task(std::move(Do));
-  auto Result = Task.get_future();
-  boost::asio::post(Shared->Io, [&Task] { Task(); });
-  return Result.get();
+  return callOn(Shared->Io, std::move(Do));
 }
 
 PlatformStandIn::PlatformStandIn(UpstreamObserver *Observer)
--- a/testing/standin_support.h
+++ b/testing/standin_support.h
@@ -7,10 +7,12 @@
 #include <charconv>
 #include <chrono>
 #include <functional>
+#include <future>
 #include <memory>
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include "http/message.h"
@@ -28,6 +30,15 @@
       });
 }
 
+/// Calls \p Do on the thread that runs \p Io and waits for its result.
+/// Precondition: the caller is another thread.
+template <class F> auto callOn(boost::asio::io_context &Io, F Do) {
+  std::packaged_task<decltype(Do())()> Task(std::move(Do));
+  auto Result = Task.get_future();
+  boost::asio::post(Io, [&Task] { Task(); });
+  return Result.get();
+}
+
 /// The number at the start of \p Text, or 0.
 inline uint64_t numberOf(std::string_view Text) {
   uint64_t Out = 0;
