Failing test: requests that crash upstreams are not contained

The real programs against stand-ins that crash when they begin to answer a request with a certain prompt part, or with a certain body. Bounds are the platform's: three more requests after the fifth crash, or three repeats after the third.

The deployment of platform_process_test moves to a file of its own, so that both tests use it.

--- a/testing/platform_process_test.cc
+++ b/testing/platform_process_test.cc
@@ -3,165 +3,16 @@
 // Tests wait for conditions rather than for fixed times.
 #include <doctest/doctest.h>
 
-#include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <thread>
 
-#include "http/client.h"
-#include "testing/platform_standin.h"
-#include "testing/process.h"
+#include "testing/platform_deployment.h"
 
 using namespace goldcrestlink;
 using namespace goldcrestlink::testing;
 
 namespace {
 
-constexpr double MaxWaitSeconds = 60;
-
-// Two entries, two engines with one side each, and one plain service.
-class Deployment {
-public:
-  Deployment()
-      : Folder(std::filesystem::temp_directory_path() /
-               ("goldcrestlink-platform-" + std::to_string(::getpid()))),
-        LinkPort(freePort()), MetricsPort(freePort()) {
-    std::filesystem::create_directories(Folder);
-    Platform.putConfig(1);
-    for (int I = 0; I < 2; ++I) {
-      startEngineAndSide(I);
-    }
-    Platform.addPlain("p", "127.0.3.1", static_cast<uint16_t>(freePort()));
-    for (int I = 0; I < 2; ++I) {
-      const std::string Host = "127.0.2." + std::to_string(I + 1);
-      Entries.push_back({Host, static_cast<uint16_t>(freePort())});
-      Ready.push_back({Host, static_cast<uint16_t>(freePort())});
-      startEntry(I);
-    }
-  }
-
-  ~Deployment() { std::filesystem::remove_all(Folder); }
-
-  void startEntry(int I) {
-    const std::string Host = Entries[static_cast<size_t>(I)].Address;
-    start("entry" + std::to_string(I),
-          "[process]\nrole = entry\ninstance = entry-" + std::to_string(I) +
-              "\ndata_center = z\nlisten = " +
-              Entries[static_cast<size_t>(I)].text() + "\n" +
-              fleetSection(Host) +
-              "ready_listen = " + Ready[static_cast<size_t>(I)].text() +
-              "\npeers = 127.0.2.1:1 127.0.2.2:1\n[bounds]\nstop_s = 30\n");
-  }
-
-  bool ready(size_t I) const {
-    try {
-      http::Request R;
-      R.Target = "/-/readiness";
-      return http::fetchBlocking(Ready[I], std::move(R), http::CallOptions())
-                 .Head.Status == 200;
-    } catch (const std::runtime_error &) {
-      return false;
-    }
-  }
-
-  http::Response call(size_t Entry, const std::string &Target,
-                      const std::string &Adapter = "",
-                      const std::string &Body = "b") {
-    http::Request R;
-    R.Method = "POST";
-    R.Target = Target;
-    R.Body = Body;
-    R.Fields = {{"Host", "h"},
-                {"Request-Id", "r" + std::to_string(++LastId)},
-                {"Request-Deadline", "20000"}};
-    if (!Adapter.empty()) {
-      R.Fields.push_back({"Model", "m/" + Adapter});
-      R.Fields.push_back({"Token-Count", "100,20"});
-    }
-    try {
-      return http::fetchBlocking(Entries[Entry], std::move(R),
-                                 http::CallOptions().setFreshConnection(true));
-    } catch (const std::runtime_error &) {
-      return {};
-    }
-  }
-
-  // The value of a metric of the process at \p Host; empty if it is not
-  // exported.
-  std::string metric(const std::string &Host, const std::string &Name) const {
-    http::Request R;
-    R.Target = "/metrics";
-    const http::Response Page =
-        http::fetchBlocking({Host, static_cast<uint16_t>(MetricsPort)},
-                            std::move(R), http::CallOptions());
-    std::istringstream Lines(Page.Body);
-    for (std::string Found, Value; Lines >> Found;)
-      if (Found == Name && Lines >> Value)
-        return Value;
-    return "";
-  }
-
-  // Repeats a request until it is served: entries discover sides and engines
-  // while these start.
-  bool eventuallyServed(size_t Entry, const std::string &Target,
-                        const std::string &Adapter = "") {
-    return eventually(
-        [&] { return call(Entry, Target, Adapter).Head.Status == 200; },
-        MaxWaitSeconds);
-  }
-
-  int stop(const std::string &Name) {
-    Processes.at(Name)->signal(SIGTERM);
-    const int Exit = Processes.at(Name)->wait();
-    Processes.erase(Name);
-    return Exit;
-  }
-
-  void kill(const std::string &Name) {
-    Processes.at(Name)->signal(SIGKILL);
-    Processes.at(Name)->wait();
-    Processes.erase(Name);
-  }
-
-  PlatformStandIn Platform;
-  std::vector<http::Endpoint> Entries;
-  std::vector<http::Endpoint> Ready;
-
-private:
-  std::string fleetSection(const std::string &Host) const {
-    return "[store]\naddress = " + Platform.store().text() +
-           "\n[fleet]\naddress = " + Host +
-           "\nlink_port = " + std::to_string(LinkPort) +
-           "\nmetrics_port = " + std::to_string(MetricsPort) + "\n";
-  }
-
-  void startEngineAndSide(int I) {
-    const std::string Number = std::to_string(I);
-    const std::string Host = "127.0.1." + std::to_string(I + 1);
-    const auto Port = static_cast<uint16_t>(freePort());
-    Platform.addEngine("e" + Number, Host, Port);
-    std::string Text = "[process]\nrole = side\ninstance = side-" + Number;
-    Text += "\ndata_center = z\nlisten = " + Host + ":1\n";
-    Text += fleetSection(Host);
-    Text += "engine = " + Host + ":" + std::to_string(Port);
-    Text += "\nservice = engines\n";
-    start("side" + Number, Text);
-  }
-
-  void start(const std::string &Name, const std::string &Settings) {
-    const std::string File = (Folder / (Name + ".ini")).string();
-    std::ofstream(File) << Settings;
-    Processes[Name] = std::make_unique<Process>(
-        std::vector<std::string>{"./goldcrestlinkd", "--settings", File},
-        (Folder / (Name + ".log")).string());
-  }
-
-  std::filesystem::path Folder;
-  int LinkPort;
-  int MetricsPort;
-  int LastId = 0;
-  std::map<std::string, std::unique_ptr<Process>> Processes;
-};
+using Deployment = PlatformDeployment;
 
 size_t runCount(const Deployment &System, const std::string &Id) {
   return System.Platform.tally(Id).Ran.size();
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -197,6 +197,23 @@
   onThread([&] { Impl->at(Name).setFault(F); });
 }
 
+void PlatformStandIn::setDeadly(const std::string &Part,
+                                const std::string &Body) {
+  onThread([&] {
+    Impl->Common.DeadlyPart = Part;
+    Impl->Common.DeadlyBody = Body;
+  });
+}
+
+int PlatformStandIn::crashesByRequests() const {
+  return onThread([&] {
+    int Sum = 0;
+    for (const auto &[Name, U] : Impl->Upstreams)
+      Sum += U->tally().Crashes;
+    return Sum;
+  });
+}
+
 void PlatformStandIn::release(const std::string &Adapter, int Version) {
   onThread([&] {
     Impl->Common.Releases[Adapter] = {Version, currentTime().Steady};
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -66,6 +66,11 @@
   /// and does nothing if the upstream is running.
   bool start(const std::string &Name, const std::string &Id = "");
   void setFault(const std::string &Name, UpstreamFault F);
+  /// From now on upstreams crash on requests with this part in their prompts,
+  /// or with this body, and start again later. Empty: none.
+  void setDeadly(const std::string &Part, const std::string &Body);
+  /// Crashes of all upstreams that requests have caused.
+  int crashesByRequests() const;
   /// Announces a version of an adapter in the store.
   void release(const std::string &Adapter, int Version);
   /// While set, the store answers every request with 503.
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -17,6 +17,8 @@
 constexpr auto LoadDuration = std::chrono::milliseconds(30);
 constexpr auto EventInterval = std::chrono::milliseconds(10);
 constexpr uint64_t DefaultEvents = 5;
+// From a crash that a request has caused until the upstream starts again.
+constexpr auto RestartDelay = std::chrono::seconds(2);
 
 // The number of events that a body such as "... events=40" requests.
 uint64_t requestedEvents(std::string_view Body) {
@@ -91,6 +93,29 @@
   onCallerRequest(Request, Responder);
 }
 
+bool UpstreamStandIn::isDeadly(const http::Request &Request) const {
+  if (!Shared.DeadlyBody.empty() && Request.Body == Shared.DeadlyBody)
+    return true;
+  const std::string_view Prompt = Request.header("Prompt-Prefix");
+  return !Shared.DeadlyPart.empty() &&
+         Prompt.substr(0, Prompt.rfind(',') + 1)
+                 .find(Shared.DeadlyPart + ":") != std::string_view::npos;
+}
+
+void UpstreamStandIn::crashOn(const std::string &RequestId) {
+  runLater(Io, EventInterval, [this, RequestId, StartedIn = Incarnation] {
+    if (Incarnation != StartedIn)
+      return;
+    ++Tally.Crashes;
+    reportRunEnd(RequestId, RunEnd::Crashed);
+    crash();
+    runLater(Io, RestartDelay, [this] {
+      if (!running())
+        start(Description.Id);
+    });
+  });
+}
+
 void UpstreamStandIn::onCallerRequest(const http::Request &Request,
                                       const ResponderPtr &Responder) {
   Description.IsEngine ? onGeneration(Request, Responder)
@@ -110,6 +135,8 @@
                               const ResponderPtr &Responder) {
   const std::string Id(Request.header("Request-Id"));
   reportRun(Request, "", 0);
+  if (isDeadly(Request))
+    crashOn(Id);
   runLater(Io, EventInterval,
            [=, this, StartedIn = Incarnation, Body = Request.Body] {
              if (Incarnation != StartedIn)
@@ -155,12 +182,15 @@
   Opened->To = Responder;
   Opened->Last = requestedEvents(Request.Body);
   InUse.insert(Adapter);
+  if (isDeadly(Request))
+    crashOn(Opened->RequestId);
   Responder->onDisconnect([this, Opened, StartedIn = Incarnation] {
     if (Incarnation == StartedIn)
       endStream(*Opened, RunEnd::CallerGone);
   });
   Responder->begin(200, Fields);
-  streamNext(Opened, parseNumber(Request.header("Last-Event-Id")) + 1);
+  if (!isDeadly(Request))
+    streamNext(Opened, parseNumber(Request.header("Last-Event-Id")) + 1);
 }
 
 void UpstreamStandIn::streamNext(const std::shared_ptr<Stream> &Open,
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -34,6 +34,8 @@
   /// Orders to unload an adapter in use. They take effect when its runs end.
   int UnloadsInUse = 0;
   int Orders = 0;
+  /// Crashes caused by a request.
+  int Crashes = 0;
 };
 
 /// A caller's request as it reaches an upstream.
@@ -83,6 +85,10 @@
     Time Since{};
   };
   std::map<std::string, Release> Releases;
+  /// An upstream crashes when it begins to answer a request with this part in
+  /// its prompt, not counting the last part, or with this body. Empty: none.
+  std::string DeadlyPart;
+  std::string DeadlyBody;
   UpstreamObserver *Observer = nullptr;
 };
 
@@ -138,6 +144,9 @@
   };
 
   void onRequest(const http::Request &Request, const ResponderPtr &Responder);
+  bool isDeadly(const http::Request &Request) const;
+  /// Crashes when the answer to a request begins, and starts again later.
+  void crashOn(const std::string &RequestId);
   void onCallerRequest(const http::Request &Request,
                        const ResponderPtr &Responder);
   void onPlain(const http::Request &Request, const ResponderPtr &Responder);
