Attribute crashes to shared request traits and quarantine them

Cause: a break was always the engine's fault. Nothing attributed it to what the requests had in common, and entries share no such knowledge, so every entry sent each request with the deadly part to the next engine. Class of fault: a failure that follows the request is retried against the whole fleet. The same cause elsewhere: repeated plain requests on the platform were not recognised across attempts either.

Fix: output clears a request's traits; a trait without output in three crashes is quarantined. Entries exchange reports and verdicts through three sides each; sides keep verdicts, and digests repair lost messages and restarts.

--- a/daemon/catalog_codec.cc
+++ b/daemon/catalog_codec.cc
@@ -44,9 +44,10 @@
 
 } // namespace
 
-wire::Envelope encodeDigest(const CatalogRevisions &R) {
+wire::Envelope encodeDigest(const CatalogRevisions &R, uint64_t Verdicts) {
   wire::Envelope Out;
   fillRevisions(*Out.mutable_digest(), R);
+  Out.mutable_digest()->set_verdicts(Verdicts);
   return Out;
 }
 
--- a/daemon/catalog_codec.h
+++ b/daemon/catalog_codec.h
@@ -2,7 +2,7 @@
 // digest of revisions, a request for newer state, and an update with that
 // state.
 //
-//   wire::Envelope E = encodeDigest(Catalog.revisions());
+//   wire::Envelope E = encodeDigest(Catalog.revisions(), Digest);
 //   auto Update = decodeCatalogUpdate(E.beliefs());
 #ifndef GOLDCRESTLINK_DAEMON_CATALOG_CODEC_H
 #define GOLDCRESTLINK_DAEMON_CATALOG_CODEC_H
@@ -14,8 +14,10 @@
 
 // All functions are thread-safe.
 
-/// Announces the revisions of the sender's catalog.
-wire::Envelope encodeDigest(const CatalogRevisions &Revisions);
+/// Announces the revisions of the sender's catalog, and the digest of its
+/// quarantine verdicts.
+wire::Envelope encodeDigest(const CatalogRevisions &Revisions,
+                            uint64_t Verdicts);
 /// Requests the state that is newer than \p Known.
 wire::Envelope encodeCatalogRequest(const CatalogRevisions &Known);
 wire::Envelope encodeCatalogUpdate(const CatalogUpdate &Update);
--- /dev/null
+++ b/daemon/crash_relay.cc
@@ -0,0 +1,59 @@
+// Many entries may answer one crash report with the same cleared traits, so
+// each trait is passed on at most once per interval. Work per message is linear
+// in its traits or verdicts.
+#include "daemon/crash_relay.h"
+
+namespace goldcrestlink {
+
+namespace {
+constexpr Duration OutputInterval = std::chrono::milliseconds(500);
+constexpr size_t MaxRelayedOutputs = 4096;
+} // namespace
+
+bool CrashRelay::handles(const wire::Envelope &Message) {
+  return Message.has_crash_report() || Message.has_trait_output() ||
+         Message.has_trait_verdicts();
+}
+
+std::optional<wire::Envelope>
+CrashRelay::onMessage(Time Now, const wire::Envelope &Message) {
+  if (Message.has_crash_report())
+    return Message;
+  if (Message.has_trait_output())
+    return relayOutput(Now, Message.trait_output());
+  if (!Message.has_trait_verdicts())
+    return std::nullopt;
+  const uint64_t Before = Verdicts.digest();
+  Verdicts.merge(Now, decodeVerdicts(Message.trait_verdicts()));
+  if (Verdicts.digest() == Before)
+    return std::nullopt;
+  return encodeVerdicts(Verdicts.verdicts(Now), Verdicts.digest());
+}
+
+std::optional<wire::Envelope>
+CrashRelay::relayOutput(Time Now, const wire::TraitOutput &Message) {
+  if (RelayedOutputs.size() >= MaxRelayedOutputs)
+    RelayedOutputs.clear();
+  std::vector<forward::RequestTrait> Fresh;
+  for (const forward::RequestTrait &T : decodeOutput(Message)) {
+    const auto [It, IsNew] = RelayedOutputs.try_emplace(T.Hash, Now);
+    if (!IsNew && Now - It->second < OutputInterval)
+      continue;
+    It->second = Now;
+    Fresh.push_back(T);
+  }
+  if (Fresh.empty())
+    return std::nullopt;
+  return encodeOutput(Fresh);
+}
+
+std::optional<wire::Envelope>
+CrashRelay::onDigest(Time Now, const wire::BeliefRevisions &Digest) {
+  if (Digest.verdicts() == Verdicts.digest())
+    return std::nullopt;
+  return encodeVerdicts(Verdicts.verdicts(Now), Verdicts.digest());
+}
+
+void CrashRelay::onTimer(Time Now) { Verdicts.expire(Now); }
+
+} // namespace goldcrestlink
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -14,12 +14,15 @@
 #include <boost/asio/steady_timer.hpp>
 #include <zmq.hpp>
 
+#include "base/random.h"
 #include "daemon/admission_codec.h"
 #include "daemon/catalog_exchange.h"
+#include "daemon/crash_codec.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/side_connection.h"
 #include "forward/forwarder.h"
 #include "http/client.h"
+#include "http/connection_check.h"
 #include "http/server.h"
 #include "platform/call_headers.h"
 
@@ -39,6 +42,9 @@
 // Number of entries that are assumed to share the load until a side reports how
 // many it has received messages from.
 constexpr size_t InitialEntryCount = 4;
+// Sides to which a crash report or verdict is sent; each passes it to the other
+// entries. One of them may be down or cut off.
+constexpr size_t CrashRelays = 3;
 // Long enough that a call to a silent upstream is ended by its own deadline.
 constexpr Duration ReadTimeout = std::chrono::minutes(10);
 
@@ -84,7 +90,8 @@
                               .setRatio(ProcessSettings.Fleet.RetryRatio)
                               .setSlack(ProcessSettings.Fleet.RetrySlack)
                               .setWindow(ProcessSettings.Fleet.RetryWindow)),
-                  *this, Seed) {
+                  *this, Seed),
+        Rand(Seed) {
     Forwarder.onEntries(InitialEntryCount);
     tick();
   }
@@ -229,6 +236,41 @@
                       std::string(forward::endReasonName(Why)) + "\n");
   }
 
+  void probe(const UpstreamRecord &Upstream) override {
+    Metrics.count("crash_probes_total");
+    http::checkConnection(
+        Io, Upstream.Address, ConnectTimeout,
+        [this, Id = Upstream.Id](http::ConnectionCheck Result) {
+          Forwarder.onProbe(now(), Id,
+                            Result == http::ConnectionCheck::Refused);
+        });
+  }
+
+  void shareCrash(const forward::CrashReport &Report) override {
+    Metrics.count("crash_reports_total");
+    sendToRelays(encodeCrashReport(Report));
+  }
+
+  void shareOutput(std::span<const forward::RequestTrait> Traits) override {
+    sendToRelays(encodeOutput(Traits));
+  }
+
+  void shareVerdicts(std::span<const forward::TraitVerdict> Verdicts) override {
+    Metrics.count("quarantines_total");
+    sendToRelays(encodeVerdicts(Verdicts, Forwarder.crashes().digest()));
+  }
+
+  void sendToRelays(const wire::Envelope &Message) {
+    std::vector<SideConnection *> Relays;
+    for (auto &[Address, Side] : Sides)
+      Relays.push_back(Side.Connection.get());
+    for (size_t I = 0; I < std::min(CrashRelays, Relays.size()); ++I) {
+      std::swap(Relays[I], Relays[I + Rand.below(Relays.size() - I)]);
+      wire::Envelope E = Message;
+      Relays[I]->sendOrQueue(E);
+    }
+  }
+
   void log(LogClass Class, std::string Line) override {
     Sinks.Log(Class, std::move(Line));
   }
@@ -293,12 +335,41 @@
     return false;
   }
 
+  bool onCrashMessage(SideConnection &From, wire::Envelope &Message) {
+    const Time Now = now();
+    if (Message.has_crash_report()) {
+      const std::vector<forward::RequestTrait> Cleared =
+          Forwarder.onCrashReport(Now,
+                                  decodeCrashReport(Message.crash_report()));
+      if (!Cleared.empty()) {
+        wire::Envelope E = encodeOutput(Cleared);
+        From.sendOrQueue(E);
+      }
+      return true;
+    }
+    if (Message.has_trait_output()) {
+      Forwarder.onOutputReport(Now, decodeOutput(Message.trait_output()));
+      return true;
+    }
+    if (Message.has_trait_verdicts()) {
+      Forwarder.onVerdicts(Now, decodeVerdicts(Message.trait_verdicts()));
+      const forward::CrashAttribution &Own = Forwarder.crashes();
+      if (Message.trait_verdicts().digest() != Own.digest()) {
+        wire::Envelope E = encodeVerdicts(Own.verdicts(Now), Own.digest());
+        From.sendOrQueue(E);
+      }
+      return true;
+    }
+    return false;
+  }
+
   CatalogRevisions ownRevisions() const {
     return KnownCatalog ? KnownCatalog->revisions() : CatalogRevisions();
   }
 
   void sendDigests() {
-    const wire::Envelope Digest = encodeDigest(ownRevisions());
+    const wire::Envelope Digest =
+        encodeDigest(ownRevisions(), Forwarder.crashes().digest());
     for (auto &[Address, Side] : Sides) {
       wire::Envelope E = Digest;
       Side.Connection->sendOrQueue(E);
@@ -340,7 +411,8 @@
     Side &From = Sides[Address];
     const std::string Id = From.UpstreamId;
     const Time Now = now();
-    if (onCatalogMessage(*From.Connection, Message))
+    if (onCatalogMessage(*From.Connection, Message) ||
+        onCrashMessage(*From.Connection, Message))
       return;
     if (Message.has_admission_reply()) {
       const wire::AdmissionReply &Reply = Message.admission_reply();
@@ -426,6 +498,7 @@
   uint64_t LastCallId = 0;
   bool Stopping = false;
   forward::Forwarder Forwarder;
+  Random Rand;
 };
 
 EntryTraffic::EntryTraffic(const Settings &ProcessSettings, uint64_t Seed,
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -20,6 +20,7 @@
 #include "catalog/catalog.h"
 #include "daemon/admission_codec.h"
 #include "daemon/catalog_exchange.h"
+#include "daemon/crash_relay.h"
 #include "daemon/process_control.h"
 #include "http/client.h"
 #include "platform/engine_control.h"
@@ -108,7 +109,7 @@
       Admission.onEnd(Now, Peer, Message.admission_end().id(),
                       Duration(static_cast<int64_t>(
                           Message.admission_end().first_token_us())));
-    else
+    else if (!onCrashMessage(Now, Peer, Message))
       onCatalogMessage(Now, Peer, Message);
     if (IsNew)
       sendLoad(Peer, Admission.load(Now));
@@ -116,6 +117,25 @@
     rearmTickIfBusy();
   }
 
+  // Traffic thread: crash reports and quarantine verdicts.
+
+  bool onCrashMessage(Time Now, const std::string &From,
+                      wire::Envelope &Message) {
+    std::optional<wire::Envelope> ToOthers = Relay.onMessage(Now, Message);
+    if (ToOthers)
+      sendToOthers(From, *ToOthers);
+    return CrashRelay::handles(Message);
+  }
+
+  void sendToOthers(const std::string &From, const wire::Envelope &Message) {
+    for (const auto &[Peer, At] : std::map<std::string, Time>(LastSeen)) {
+      if (Peer == From)
+        continue;
+      wire::Envelope E = Message;
+      send(Peer, E);
+    }
+  }
+
   // Traffic thread: catalog state.
 
   void onCatalogMessage(Time Now, const std::string &Peer,
@@ -126,9 +146,11 @@
       if (auto E = Exchange.requestMissing(Now, Theirs, Own))
         send(Peer, *E);
       if (Theirs.lacks(Own)) {
-        wire::Envelope E = encodeDigest(Own);
+        wire::Envelope E = encodeDigest(Own, Relay.digest());
         send(Peer, E);
       }
+      if (auto E = Relay.onDigest(Now, Message.digest()))
+        send(Peer, *E);
     } else if (Message.has_belief_request()) {
       wire::Envelope E =
           catalogUpdateFor(Message.belief_request(), KnownCatalog);
@@ -153,10 +175,7 @@
                 " upstreams=" + std::to_string(Update.Upstreams.size()) +
                 " releases=" + std::to_string(Update.Releases.size()));
     // Entries whose state is older request the update.
-    wire::Envelope E = encodeDigest(KnownCatalog.revisions());
-    for (const auto &[Peer, At] : std::map<std::string, Time>(LastSeen))
-      if (Peer != From)
-        send(Peer, E);
+    sendToOthers(From, encodeDigest(KnownCatalog.revisions(), Relay.digest()));
   }
 
   void onConfigText(Time Now, const std::string &Text) {
@@ -243,6 +262,7 @@
   void tick() {
     const Time Now = now();
     Admission.onTimer(Now);
+    Relay.onTimer(Now);
     requestReport(Now);
     sendLoadIfChanged(Now);
     armTick();
@@ -354,7 +374,9 @@
            std::to_string(Admission.load(now()).Held.size()) +
            "\ngoldcrestlink_waiting " + std::to_string(Admission.waiting()) +
            "\ngoldcrestlink_granted " + std::to_string(Admission.granted()) +
-           "\ngoldcrestlink_entries " + std::to_string(LastSeen.size()) + "\n";
+           "\ngoldcrestlink_entries " + std::to_string(LastSeen.size()) +
+           "\ngoldcrestlink_verdicts " + std::to_string(Relay.verdicts()) +
+           "\n";
   }
 
   Settings ProcessSettings;
@@ -371,6 +393,7 @@
   std::map<std::string, Time> LastSeen;
   Catalog KnownCatalog;
   CatalogExchange Exchange;
+  CrashRelay Relay;
   EngineLoad LastLoad;
   Time LoadSentAt{};
   std::string HealthPath;
--- /dev/null
+++ b/daemon/testing/crash_exchange_test.cc
@@ -0,0 +1,289 @@
+// Simulation of several entries and relays that lose messages and restart,
+// while upstreams crash on some prompt parts: the crashes are bounded over all
+// entries, and requests without these parts are not rejected.
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+
+#include "base/random.h"
+#include "daemon/catalog_codec.h"
+#include "daemon/crash_relay.h"
+#include "forward/crash_detector.h"
+
+using namespace goldcrestlink;
+using namespace goldcrestlink::forward;
+
+namespace {
+
+constexpr int64_t RunMs = 30000;
+constexpr int64_t ContactMs = 3000;
+constexpr int64_t UpstreamDownMs = 3000;
+constexpr size_t Upstreams = 18;
+constexpr size_t Relays = 6;
+
+Time at(int64_t Ms) { return Time(std::chrono::milliseconds(100000 + Ms)); }
+
+struct Scenario {
+  const char *Name;
+  size_t Entries;
+  /// Requests per second, and how many of 1000 have one of the deadly parts.
+  int Rate;
+  int DeadlyPerMille;
+  int DeadlyParts;
+  /// Messages lost, in percent.
+  int Loss;
+  /// Mean interval between restarts of an entry and of a relay; 0: none.
+  int64_t RestartMs;
+  /// Upstreams that crash at once for another reason, every ten seconds.
+  size_t OtherCrashes;
+};
+
+class Simulation {
+public:
+  Simulation(const Scenario &InScenario, uint64_t Seed)
+      : S(InScenario), Rand(Seed), EntryList(S.Entries), Side(Relays),
+        DownUntil(Upstreams, 0) {
+    for (size_t I = 0; I < S.Entries; ++I)
+      restartEntry(I, -ContactMs);
+    for (auto &R : Side)
+      R = std::make_unique<CrashRelay>();
+  }
+
+  void run() {
+    for (Now = 0; Now < RunMs; ++Now) {
+      for (auto It = Due.begin(); It != Due.end() && It->first <= Now;
+           It = Due.begin()) {
+        const std::function<void()> Action = std::move(It->second);
+        Due.erase(It);
+        Action();
+      }
+      if (Rand.below(1000) < static_cast<uint64_t>(S.Rate))
+        newRequest();
+      if (Now % 1000 == 0)
+        exchangeDigests();
+      if (S.RestartMs > 0 &&
+          Rand.below(static_cast<uint64_t>(S.RestartMs)) == 0)
+        restartEntry(Rand.below(S.Entries), Now);
+      if (S.RestartMs > 0 &&
+          Rand.below(static_cast<uint64_t>(S.RestartMs)) == 0)
+        Side[Rand.below(Relays)] = std::make_unique<CrashRelay>();
+      if (Now % 10000 == 5000)
+        for (size_t I = 0; I < S.OtherCrashes; ++I)
+          crash(Rand.below(Upstreams));
+    }
+  }
+
+  // Deadly requests that entries in touch have sent later than ContactMs after
+  // the fifth crash.
+  int LateDeadly = 0;
+  int DeadlyCrashes = 0;
+  // Sound requests later than twice that time.
+  int LateSound = 0;
+  int LateSoundRejected = 0;
+
+private:
+  struct Request {
+    size_t Entry;
+    uint64_t EntryStart;
+    std::vector<RequestTrait> Traits;
+    bool Deadly;
+  };
+  struct Entry {
+    std::unique_ptr<CrashAttribution> Crashes;
+    CrashDetector Detector;
+    int64_t StartedAt = 0;
+    uint64_t Start = 0;
+  };
+
+  void later(int64_t Delay, std::function<void()> Action) {
+    Due.emplace(Now + Delay, std::move(Action));
+  }
+  bool lost() { return Rand.below(100) < static_cast<uint64_t>(S.Loss); }
+  int64_t delay() { return 1 + static_cast<int64_t>(Rand.below(5)); }
+
+  void restartEntry(size_t I, int64_t When) {
+    Entry &E = EntryList[I];
+    E.Crashes = std::make_unique<CrashAttribution>(CrashAttribution::Options());
+    E.Detector = CrashDetector();
+    E.StartedAt = When;
+    ++E.Start;
+  }
+
+  void newRequest() {
+    Request R;
+    R.Entry = Rand.below(S.Entries);
+    Entry &E = EntryList[R.Entry];
+    R.EntryStart = E.Start;
+    R.Deadly = Rand.below(1000) < static_cast<uint64_t>(S.DeadlyPerMille);
+    // The first part is common; deadly requests share the middle parts of
+    // sound ones as well.
+    R.Traits = {{1, 0}, {100 + Rand.below(200), 1}};
+    if (R.Deadly)
+      R.Traits.push_back(
+          {10 + Rand.below(static_cast<uint64_t>(S.DeadlyParts)), 2});
+    R.Traits.push_back({1000 + ++LastOwn, RequestTrait::WholeRequest});
+    const bool Rejected = E.Crashes->checkQuarantine(at(Now), R.Traits);
+    if (Now > std::max<int64_t>(0, FifthCrashAt) + 2 * ContactMs && !R.Deadly) {
+      ++LateSound;
+      LateSoundRejected += Rejected;
+    }
+    if (Rejected)
+      return;
+    size_t U = Rand.below(Upstreams);
+    for (size_t I = 0; I < Upstreams && DownUntil[U] > Now; ++I)
+      U = (U + 1) % Upstreams;
+    if (DownUntil[U] > Now)
+      return;
+    if (R.Deadly && FifthCrashAt >= 0 && Now > FifthCrashAt + ContactMs &&
+        Now - E.StartedAt > ContactMs)
+      ++LateDeadly;
+    const uint64_t Id = ++LastId;
+    Running[U][Id] = std::move(R);
+    later(60 + static_cast<int64_t>(Rand.below(150)),
+          [this, U, Id] { begin(U, Id); });
+  }
+
+  // The upstream begins to write the answer of a request.
+  void begin(size_t U, uint64_t Id) {
+    const auto It = Running[U].find(Id);
+    if (It == Running[U].end())
+      return;
+    if (It->second.Deadly) {
+      if (++DeadlyCrashes == 5)
+        FifthCrashAt = Now;
+      return crash(U);
+    }
+    const Request R = std::move(It->second);
+    Running[U].erase(It);
+    Entry &E = EntryList[R.Entry];
+    if (E.Start != R.EntryStart)
+      return;
+    if (const auto Cleared = E.Crashes->onOutput(at(Now), R.Traits);
+        !Cleared.empty())
+      sendToRelays(R.Entry, encodeOutput(Cleared));
+  }
+
+  void crash(size_t U) {
+    DownUntil[U] = Now + UpstreamDownMs;
+    for (const auto &[Id, R] : std::map<uint64_t, Request>(Running[U])) {
+      Entry &E = EntryList[R.Entry];
+      if (E.Start != R.EntryStart)
+        continue;
+      if (E.Detector.onBroken(at(Now), std::to_string(U), R.Traits))
+        later(2, [this, I = R.Entry, U] { onProbe(I, U); });
+    }
+    Running[U].clear();
+  }
+
+  void onProbe(size_t I, size_t U) {
+    Entry &E = EntryList[I];
+    const auto Report = E.Detector.onProbe(at(Now), std::to_string(U), true);
+    if (!Report)
+      return;
+    const CrashAttribution::Result Result =
+        E.Crashes->onCrash(at(Now), *Report);
+    sendToRelays(I, encodeCrashReport(*Report));
+    onNewVerdicts(I, Result);
+  }
+
+  void onNewVerdicts(size_t I, const CrashAttribution::Result &Result) {
+    const CrashAttribution &A = *EntryList[I].Crashes;
+    if (!Result.Quarantined.empty())
+      sendToRelays(I, encodeVerdicts(A.verdicts(at(Now)), A.digest()));
+  }
+
+  void sendToRelays(size_t From, const wire::Envelope &Message) {
+    for (int I = 0; I < 3; ++I)
+      sendToRelay(From, Rand.below(Relays), Message);
+  }
+
+  void sendToRelay(size_t From, size_t R, const wire::Envelope &Message) {
+    if (lost())
+      return;
+    later(delay(), [this, From, R, Message] {
+      const auto ToOthers = Side[R]->onMessage(at(Now), Message);
+      for (size_t I = 0; ToOthers && I < S.Entries; ++I)
+        if (I != From)
+          sendToEntry(R, I, *ToOthers);
+    });
+  }
+
+  void sendToEntry(size_t R, size_t I, const wire::Envelope &Message) {
+    if (lost())
+      return;
+    later(delay(), [this, R, I, Message] {
+      CrashAttribution &A = *EntryList[I].Crashes;
+      if (Message.has_crash_report()) {
+        const auto Result =
+            A.onCrash(at(Now), decodeCrashReport(Message.crash_report()));
+        if (!Result.Cleared.empty())
+          sendToRelay(I, R, encodeOutput(Result.Cleared));
+        onNewVerdicts(I, Result);
+      } else if (Message.has_trait_output()) {
+        A.onOutput(at(Now), decodeOutput(Message.trait_output()));
+      } else if (Message.has_trait_verdicts()) {
+        A.merge(at(Now), decodeVerdicts(Message.trait_verdicts()));
+        if (Message.trait_verdicts().digest() != A.digest())
+          sendToRelay(I, R, encodeVerdicts(A.verdicts(at(Now)), A.digest()));
+      }
+    });
+  }
+
+  void exchangeDigests() {
+    for (size_t I = 0; I < S.Entries; ++I)
+      for (size_t R = 0; R < Relays; ++R) {
+        const wire::Envelope Digest =
+            encodeDigest(CatalogRevisions(), EntryList[I].Crashes->digest());
+        if (const auto Reply = Side[R]->onDigest(at(Now), Digest.digest()))
+          sendToEntry(R, I, *Reply);
+      }
+  }
+
+  const Scenario &S;
+  Random Rand;
+  int64_t Now = 0;
+  std::multimap<int64_t, std::function<void()>> Due;
+  std::vector<Entry> EntryList;
+  std::vector<std::unique_ptr<CrashRelay>> Side;
+  std::vector<int64_t> DownUntil;
+  std::map<size_t, std::map<uint64_t, Request>> Running;
+  int64_t FifthCrashAt = -1;
+  uint64_t LastId = 0;
+  uint64_t LastOwn = 0;
+};
+
+} // namespace
+
+TEST_CASE(
+    "crashes by requests are bounded over all entries, and sound requests "
+    "are served") {
+  const Scenario Scenarios[] = {
+      {"one part, often", 4, 250, 50, 1, 0, 0, 0},
+      {"one part, rarely", 4, 250, 4, 1, 0, 0, 0},
+      {"most requests", 4, 250, 600, 1, 0, 0, 0},
+      {"three parts", 4, 250, 50, 3, 0, 0, 0},
+      {"lost messages", 4, 250, 50, 1, 30, 0, 0},
+      {"restarts", 4, 250, 50, 1, 0, 3000, 0},
+      {"restarts, lost messages and other crashes", 11, 250, 50, 1, 20, 3000,
+       6},
+      {"other crashes only", 11, 250, 0, 1, 0, 0, 6},
+  };
+  for (const Scenario &S : Scenarios)
+    for (uint64_t Seed = 1; Seed <= 10; ++Seed) {
+      CAPTURE(std::string(S.Name));
+      CAPTURE(Seed);
+      Simulation Run(S, Seed);
+      Run.run();
+      // The platform's bounds: three requests for each part, and half of the
+      // sound ones.
+      CHECK(Run.LateDeadly <= 3 * S.DeadlyParts);
+      CHECK(Run.LateSoundRejected * 2 <= Run.LateSound);
+      // No sound request has only parts that are lost in every crash.
+      CHECK(Run.LateSoundRejected * 100 <= Run.LateSound);
+      if (S.DeadlyPerMille == 0)
+        CHECK(Run.DeadlyCrashes == 0);
+    }
+}
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -51,6 +51,8 @@
     return "timed_out";
   case EndReason::BadAnswer:
     return "bad_answer";
+  case EndReason::Quarantined:
+    return "quarantined";
   case EndReason::TooMany:
     return "too_many";
   }
@@ -61,7 +63,8 @@
     : Opts(std::move(O)), Port(InPort), Rand(Seed),
       NextAdmissionId(1 + (Seed & AdmissionIdStartMask)),
       Engines(EngineRanker::Options().setDataCentre(Opts.dataCentre())),
-      Balancer(ServiceBalancer::Options().setDataCentre(Opts.dataCentre())) {}
+      Balancer(ServiceBalancer::Options().setDataCentre(Opts.dataCentre())),
+      Crashes(CrashAttribution::Options()) {}
 
 // Known state of the deployment.
 
@@ -154,6 +157,10 @@
   if (Calls.size() >= Opts.maxCalls())
     return rejectNewCall(Id, Request, 503, RejectionRetryAfter,
                          EndReason::TooMany);
+  std::vector<RequestTrait> Traits = traitsOf(Request);
+  if (Crashes.checkQuarantine(Now, Traits))
+    return rejectNewCall(Id, Request, 503, Crashes.quarantineTime(),
+                         EndReason::Quarantined);
   ActiveCall Call;
   Call.Id = Id;
   Call.RouteName = Route->Name;
@@ -171,6 +178,7 @@
   const ServiceSpec *Spec = CurrentCatalog->service(Call.Service);
   Call.IsEngine = Spec && Spec->IsEngine;
   Call.Request = std::move(Request);
+  Call.Traits = std::move(Traits);
   Allowances.try_emplace(Call.Service, Opts.allowance())
       .first->second.onRequest(Now);
   ActiveCall &Placed = Calls.emplace(Id, std::move(Call)).first->second;
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -25,6 +25,8 @@
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "forward/call.h"
+#include "forward/crash_attribution.h"
+#include "forward/crash_detector.h"
 #include "forward/engine_ranker.h"
 #include "forward/event_splitter.h"
 #include "forward/retry_allowance.h"
@@ -49,7 +51,9 @@
   /// not state whether the request ran.
   BadAnswer,
   /// The limit of calls in progress was reached.
-  TooMany
+  TooMany,
+  /// The request has a trait that crashes upstreams.
+  Quarantined
 };
 
 /// Name of \p Reason in logs, metrics and answers. Thread-safe.
@@ -102,6 +106,16 @@
   virtual void answerWithError(uint64_t Call, unsigned Status,
                                std::string_view RequestId, Duration RetryAfter,
                                EndReason Why) = 0;
+  /// Checks whether \p Upstream accepts connections; the result goes to
+  /// Forwarder::onProbe().
+  virtual void probe(const UpstreamRecord &Upstream) = 0;
+  /// Passes a crash that this entry has observed to the other entries.
+  virtual void shareCrash(const CrashReport &Report) = 0;
+  /// Informs the other entries that requests with these traits have recently
+  /// produced output.
+  virtual void shareOutput(std::span<const RequestTrait> Traits) = 0;
+  /// Passes all verdicts to the other processes.
+  virtual void shareVerdicts(std::span<const TraitVerdict> Verdicts) = 0;
   virtual void log(LogClass Class, std::string Line) = 0;
   /// Records an ended call in the metrics. \p FirstByte and \p Total count from
   /// the call's arrival; \p FirstByte is zero if there was none.
@@ -181,12 +195,23 @@
   void onData(Time Now, SendId Send, std::string Part);
   void onDone(Time Now, SendId Send);
   void onError(Time Now, SendId Send, SendError Error, std::string_view Why);
+  /// The result of ForwardPort::probe(). \p Refused: the upstream refused the
+  /// connection.
+  void onProbe(Time Now, const std::string &UpstreamId, bool Refused);
+  /// Another entry has observed a crash. Returns those of its traits that have
+  /// recently produced output here, to be passed to the other entries.
+  std::vector<RequestTrait> onCrashReport(Time Now, const CrashReport &Report);
+  /// Requests with these traits have produced output at another entry.
+  void onOutputReport(Time Now, std::span<const RequestTrait> Traits);
+  /// Another process has these verdicts.
+  void onVerdicts(Time Now, std::span<const TraitVerdict> Verdicts);
   /// To be called every few milliseconds.
   void onTimer(Time Now);
 
   // Queries.
 
   size_t callsInProgress() const { return Calls.size(); }
+  const CrashAttribution &crashes() const { return Crashes; }
   bool hasConfig() const {
     return CurrentCatalog && CurrentCatalog->config() != nullptr;
   }
@@ -208,6 +233,7 @@
   struct ActiveCall {
     uint64_t Id = 0;
     IncomingCall Request;
+    std::vector<RequestTrait> Traits;
     Stage CurrentStage = Stage::Queued;
     std::string RouteName;
     std::string Service;
@@ -297,6 +323,17 @@
   bool takeRetry(Time Now, ActiveCall &Call, bool AfterRun);
   void placeRetry(Time Now, ActiveCall &Call);
 
+  // Crashes that requests cause (forwarder_crashes.cc).
+  /// The present send of \p Call broke; requests a probe if its upstream may
+  /// have crashed on the call.
+  void noteBroken(Time Now, const ActiveCall &Call);
+  /// The present send of \p Call has produced output.
+  void noteOutput(Time Now, ActiveCall &Call);
+  /// This entry has quarantined \p Traits.
+  void onNewVerdicts(Time Now, std::span<const uint64_t> Traits);
+  /// Ends the calls that have one of \p Traits and no output yet.
+  void onQuarantined(Time Now, std::span<const uint64_t> Traits);
+
   // Ends. These erase the call, so the reference is invalid afterwards.
   void forwardAnswer(Time Now, ActiveCall &Call, const AnswerHead &Head,
                      std::string Body);
@@ -323,6 +360,9 @@
   uint64_t NextAdmissionId;
   EngineRanker Engines;
   ServiceBalancer Balancer;
+  CrashDetector Detector;
+  CrashAttribution Crashes;
+  Time NextCrashExpiry{};
   std::map<std::string, RetryAllowance> Allowances;
   // Ids of queued calls, by plain service.
   std::map<std::string, std::deque<uint64_t>> Queues;
--- /dev/null
+++ b/forward/forwarder_crashes.cc
@@ -0,0 +1,127 @@
+// The part of Forwarder that contains requests which crash upstreams: it
+// reports crashes, exchanges reports and verdicts with other entries, and ends
+// the calls that a new verdict quarantines.
+//
+// A quarantined call is rejected when it arrives. A new verdict visits every
+// call once; all other work is constant per event and trait.
+#include "forward/forwarder.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace goldcrestlink::forward {
+
+namespace {
+
+std::string traitList(std::span<const RequestTrait> Traits) {
+  std::string Out;
+  for (const RequestTrait &T : Traits) {
+    char Text[48];
+    std::snprintf(Text, sizeof(Text), "%s%016llx@%u", Out.empty() ? "" : ",",
+                  static_cast<unsigned long long>(T.Hash), unsigned(T.Depth));
+    Out += Text;
+  }
+  return Out;
+}
+
+} // namespace
+
+void Forwarder::noteBroken(Time Now, const ActiveCall &Call) {
+  // A draining upstream may end at any time.
+  if (Call.HasOutput || !isUsable(Call.Upstream.Id))
+    return;
+  if (Detector.onBroken(Now, Call.Upstream.Id, Call.Traits))
+    Port.probe(Call.Upstream);
+}
+
+void Forwarder::noteOutput(Time Now, ActiveCall &Call) {
+  if (Call.HasOutput)
+    return;
+  Call.HasOutput = true;
+  const std::vector<RequestTrait> Cleared = Crashes.onOutput(Now, Call.Traits);
+  if (Cleared.empty())
+    return;
+  Port.log(LogClass::Routine, "cleared id=" + Call.Request.RequestId +
+                                  " traits=" + traitList(Cleared));
+  Port.shareOutput(Cleared);
+}
+
+void Forwarder::onProbe(Time Now, const std::string &UpstreamId, bool Refused) {
+  std::optional<CrashReport> Report =
+      Detector.onProbe(Now, UpstreamId, Refused);
+  if (!Report)
+    return;
+  const CrashAttribution::Result Result = Crashes.onCrash(Now, *Report);
+  // Traits that the other entries would clear at once are not reported.
+  std::erase_if(Report->Traits, [&](const RequestTrait &T) {
+    return std::find(Result.Cleared.begin(), Result.Cleared.end(), T) !=
+           Result.Cleared.end();
+  });
+  Port.log(LogClass::Kept,
+           "upstream_crashed upstream=" + UpstreamId +
+               " cleared=" + std::to_string(Result.Cleared.size()) +
+               " suspect=" + traitList(Report->Traits));
+  if (!Report->Traits.empty())
+    Port.shareCrash(*Report);
+  onNewVerdicts(Now, Result.Quarantined);
+}
+
+std::vector<RequestTrait> Forwarder::onCrashReport(Time Now,
+                                                   const CrashReport &Report) {
+  CrashAttribution::Result Result = Crashes.onCrash(Now, Report);
+  onNewVerdicts(Now, Result.Quarantined);
+  return std::move(Result.Cleared);
+}
+
+void Forwarder::onNewVerdicts(Time Now, std::span<const uint64_t> Traits) {
+  if (Traits.empty())
+    return;
+  Port.shareVerdicts(Crashes.verdicts(Now));
+  onQuarantined(Now, Traits);
+}
+
+void Forwarder::onOutputReport(Time Now, std::span<const RequestTrait> Traits) {
+  Crashes.onOutput(Now, Traits);
+}
+
+void Forwarder::onVerdicts(Time Now, std::span<const TraitVerdict> Verdicts) {
+  onQuarantined(Now, Crashes.merge(Now, Verdicts));
+}
+
+void Forwarder::onQuarantined(Time Now, std::span<const uint64_t> Traits) {
+  if (Traits.empty())
+    return;
+  for (const uint64_t Trait : Traits) {
+    char Text[48];
+    std::snprintf(Text, sizeof(Text), "quarantine trait=%016llx",
+                  static_cast<unsigned long long>(Trait));
+    Port.log(LogClass::Kept, Text);
+  }
+  std::vector<uint64_t> ToEnd;
+  for (const auto &[Id, Call] : Calls)
+    if (!Call.HasOutput && Crashes.checkQuarantine(Now, Call.Traits))
+      ToEnd.push_back(Id);
+  for (const uint64_t Id : ToEnd) {
+    const auto It = Calls.find(Id);
+    if (It == Calls.end())
+      continue;
+    ActiveCall &Call = It->second;
+    const bool WasSent = Call.CurrentStage == Stage::Sent ||
+                         Call.CurrentStage == Stage::Streaming;
+    const std::string Service = Call.Service;
+    const bool IsPlain = !Call.IsEngine;
+    if (WasSent) {
+      // The upstream may have begun to run it, but has not crashed on it yet.
+      Call.MayHaveRun = true;
+      Port.cancelSend({Call.Id, Call.Sends});
+      finishSend(Now, Call, false);
+    } else {
+      endAdmission(Call);
+    }
+    fail(Now, Call, EndReason::Quarantined);
+    if (WasSent && IsPlain)
+      sendQueued(Now, Service);
+  }
+}
+
+} // namespace goldcrestlink::forward
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -25,6 +25,8 @@
 // A call with less time left is not sent: no upstream can answer it in time.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
+// Between removals of expired suspicions and verdicts.
+constexpr Duration CrashExpiryInterval = std::chrono::seconds(1);
 // Parts of a prompt in a log line.
 constexpr size_t MaxLoggedParts = 8;
 
@@ -124,7 +126,7 @@
   std::string Complete = Call->Events.feed(Part);
   if (Complete.empty())
     return;
-  Call->HasOutput = true;
+  noteOutput(Now, *Call);
   Call->CurrentStage = Stage::Streaming;
   if (!Call->HeadForwarded) {
     Call->HeadForwarded = true;
@@ -150,6 +152,7 @@
 
 void Forwarder::onComplete(Time Now, ActiveCall &Call) {
   const unsigned Status = Call.Head.Status;
+  noteOutput(Now, Call);
   finishSend(Now, Call, Status >= 500);
   const std::string Service = Call.Service;
   const bool IsPlain = !Call.IsEngine;
@@ -216,6 +219,7 @@
     return placeRetry(Now, *Call);
   }
   Call->MayHaveRun = true;
+  noteBroken(Now, *Call);
   onBroken(Now, *Call, EndReason::Broken);
 }
 
@@ -223,7 +227,8 @@
   if (AfterRun && Call.Repeat == Repeatability::AtMostOnce)
     return false;
   if (Call.Sends >= Call.MaxAttempts ||
-      Call.Deadline - Now < Call.Objective / 10)
+      Call.Deadline - Now < Call.Objective / 10 ||
+      Crashes.checkQuarantine(Now, Call.Traits))
     return false;
   return Allowances.at(Call.Service).take(Now, Engines.entries());
 }
@@ -272,7 +277,10 @@
   }
   if (!Call.MayHaveRun)
     Port.answerWithError(Call.Id, 503, Call.Request.RequestId,
-                         retryAfter(Now, Call), Why);
+                         Why == EndReason::Quarantined
+                             ? Crashes.quarantineTime()
+                             : retryAfter(Now, Call),
+                         Why);
   else
     Port.answerWithError(Call.Id, Why == EndReason::TimedOut ? 504 : 502,
                          Call.Request.RequestId, Duration(0), Why);
@@ -328,6 +336,10 @@
 void Forwarder::schedule(Time When, uint64_t Id) { Timers.push({When, Id}); }
 
 void Forwarder::onTimer(Time Now) {
+  if (Now >= NextCrashExpiry) {
+    NextCrashExpiry = Now + CrashExpiryInterval;
+    Crashes.expire(Now);
+  }
   while (!Timers.empty() && Timers.top().first <= Now) {
     const uint64_t Id = Timers.top().second;
     Timers.pop();
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -110,12 +110,28 @@
     Reason = Why;
     ++Ends;
   }
+  void probe(const UpstreamRecord &Upstream) override {
+    Probes.push_back(Upstream.Id);
+  }
+  void shareCrash(const CrashReport &Report) override {
+    Reports.push_back(Report);
+  }
+  void shareOutput(std::span<const RequestTrait> Traits) override {
+    Outputs.insert(Outputs.end(), Traits.begin(), Traits.end());
+  }
+  void shareVerdicts(std::span<const TraitVerdict> New) override {
+    Verdicts.assign(New.begin(), New.end());
+  }
   void log(LogClass, std::string) override {}
   void record(uint32_t, std::string_view, Duration, Duration) override {}
 
   std::vector<SentAdmission> Admissions;
   std::vector<Sent> Sends;
   std::set<uint64_t> EndedAdmissions;
+  std::vector<std::string> Probes;
+  std::vector<CrashReport> Reports;
+  std::vector<RequestTrait> Outputs;
+  std::vector<TraitVerdict> Verdicts;
   unsigned Status = 0;
   std::string Body;
   Duration RetryAfter{};
@@ -131,15 +147,16 @@
     Machine.onCatalog(at(0), deployment());
   }
 
-  void call(const std::string &Target, int64_t TimeLeftMs = 10000) {
+  void call(const std::string &Target, int64_t TimeLeftMs = 10000,
+            std::vector<uint64_t> Parts = {}, uint64_t Id = 1) {
     IncomingCall C;
     C.RequestId = "r1";
     C.Method = "POST";
     C.Host = "h";
     C.Target = Target;
     C.TimeLeft = std::chrono::milliseconds(TimeLeftMs);
-    C.Inference = {"m", "a1", 500, 50};
-    Machine.onCall(at(1), 1, std::move(C));
+    C.Inference = {"m", "a1", 500, 50, std::move(Parts)};
+    Machine.onCall(at(1), Id, std::move(C));
   }
 
   void replyAdmission(int64_t Ms, Verdict V = Verdict::Go) {
@@ -395,6 +412,99 @@
   CHECK(E.Machine.callsInProgress() == 0);
 }
 
+TEST_CASE("a broken send is reported as a crash if its upstream accepts no "
+          "connection and the send had no output") {
+  struct CrashRow {
+    bool Output;
+    bool Refused;
+    size_t Probes;
+    size_t Reports;
+  };
+  for (const CrashRow &R :
+       {CrashRow{false, true, 1, 1}, CrashRow{false, false, 1, 0},
+        CrashRow{true, true, 0, 0}}) {
+    CAPTURE(R.Output);
+    CAPTURE(R.Refused);
+    Entry E;
+    E.call("/stream/x", 10000, {7, 8});
+    E.replyAdmission(2);
+    const SendId S = E.Port.Sends.back().Id;
+    const std::string Upstream = E.Port.Sends.back().SendOpts.To.Id;
+    E.Machine.onHead(at(3), S, Entry::head(200));
+    if (R.Output)
+      E.Machine.onData(at(4), S, "id: 1\n\n");
+    E.failSend(5);
+    REQUIRE(E.Port.Probes.size() == R.Probes);
+    E.Machine.onProbe(at(6), Upstream, R.Refused);
+    REQUIRE(E.Port.Reports.size() == R.Reports);
+    if (R.Reports > 0)
+      CHECK(E.Port.Reports[0].Traits.size() == 3);
+  }
+}
+
+namespace {
+
+// Verdicts that quarantine the first shared part of \p Parts.
+std::vector<TraitVerdict> verdictOn(std::vector<uint64_t> Parts) {
+  IncomingCall C;
+  C.Inference.SharedParts = std::move(Parts);
+  return {{traitsOf(C)[0].Hash, 1, true, std::chrono::minutes(10)}};
+}
+
+} // namespace
+
+TEST_CASE("calls with a quarantined part are rejected before they run") {
+  Entry E;
+  E.Machine.onVerdicts(at(0), verdictOn({7}));
+  E.call("/stream/x", 10000, {6, 7});
+  CHECK(E.Port.Status == 503);
+  CHECK(E.Port.Reason == EndReason::Quarantined);
+  CHECK(E.Port.RetryAfter == std::chrono::minutes(10));
+  CHECK(E.Port.Admissions.empty());
+  E.call("/stream/x", 10000, {6, 8}, 2);
+  CHECK(E.Port.Admissions.size() == 1);
+}
+
+TEST_CASE("a new verdict ends the calls that have no output yet") {
+  struct StageRow {
+    bool Sent;
+    bool Output;
+    unsigned Status;
+    int Cancelled;
+  };
+  for (const StageRow &R :
+       {StageRow{false, false, 503, 0}, StageRow{true, false, 502, 1},
+        StageRow{true, true, 200, 0}}) {
+    CAPTURE(R.Sent);
+    CAPTURE(R.Output);
+    Entry E;
+    E.call("/stream/x", 10000, {6, 7});
+    if (R.Sent)
+      E.replyAdmission(2);
+    if (R.Output) {
+      const SendId S = E.Port.Sends.back().Id;
+      E.Machine.onHead(at(3), S, Entry::head(200));
+      E.Machine.onData(at(4), S, "id: 1\n\n");
+    }
+    E.Machine.onVerdicts(at(5), verdictOn({7}));
+    CHECK(E.Port.Status == R.Status);
+    CHECK(E.Port.Cancelled == R.Cancelled);
+    CHECK(E.Machine.callsInProgress() == (R.Output ? 1 : 0));
+    CHECK(E.Port.EndedAdmissions.size() == (R.Output ? 0 : 1));
+  }
+}
+
+TEST_CASE("a call with a quarantined trait is not retried") {
+  Entry E;
+  E.call("/read/x", 10000, {7});
+  REQUIRE(E.Port.Sends.size() == 1);
+  // The verdict arrives with the answer's head, before its end.
+  E.Machine.onHead(at(3), E.Port.Sends.back().Id, Entry::head(500));
+  E.Machine.onVerdicts(at(4), verdictOn({7}));
+  CHECK(E.Port.Sends.size() == 1);
+  CHECK(E.Port.Status == 502);
+}
+
 TEST_CASE("invalid calls and calls without a configuration are rejected") {
   struct RejectionRow {
     const char *Target;
