Do not pass on a stream that ended inside an event as complete

Callers saw: a stream whose answer has neither length nor chunks, and whose engine crashed inside an event, ended like a complete one.

Cause: the end of such a connection was taken for the end of the stream, and the bytes after the last complete event were appended. Class of fault: the end of a connection taken for the end of a message.

Fix: a stream that ends inside an event, or whose connection ends before any event, is treated as a broken send: it is resumed where the route allows it, or else aborted, and counts as a possible crash on its request.

The new test's four rows of incomplete streams fail with the check disabled (status 200 or not aborted) and pass with it.

--- a/forward/call.h
+++ b/forward/call.h
@@ -70,6 +70,8 @@
   /// at the address.
   bool OtherInstance = false;
   bool EventStream = false;
+  /// The body has neither a length nor chunks: it ends with the connection.
+  bool EndsWithConnection = false;
   /// The body has a content encoding, although the entry requests none.
   bool Encoded = false;
 };
--- a/forward/event_splitter.h
+++ b/forward/event_splitter.h
@@ -9,7 +9,6 @@
 
 #include <string>
 #include <string_view>
-#include <utility>
 
 namespace goldcrestlink::forward {
 
@@ -22,16 +21,17 @@
   const std::string &lastId() const { return LastId; }
   /// Number of bytes held of an incomplete event.
   size_t pending() const { return Partial.size(); }
+  /// True if no byte has been fed.
+  bool isEmpty() const { return !HasBytes; }
   /// Discards an incomplete event, whose upstream has failed.
   void dropPartial() { Partial.clear(); }
-  /// Returns and removes the bytes after the last complete event.
-  std::string takePartial() { return std::exchange(Partial, {}); }
 
 private:
   void updateLastId(std::string_view Events);
 
   std::string Partial;
   std::string LastId;
+  bool HasBytes = false;
 };
 
 } // namespace goldcrestlink::forward
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -313,6 +313,8 @@
   bool isCurrent(const ActiveCall &Call, SendId Send) const;
   /// The call of \p Send; null if it has ended or \p Send is not its last send.
   ActiveCall *find(SendId Send);
+  /// Whether the stream that has ended was not complete.
+  bool isBrokenOff(const ActiveCall &Call) const;
   void finishSend(Time Now, ActiveCall &Call, bool Failed);
   void onNotRun(Time Now, ActiveCall &Call);
   void onBroken(Time Now, ActiveCall &Call, EndReason Why);
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -135,10 +135,19 @@
   Port.answerData(Call->Id, std::move(Complete));
 }
 
+bool Forwarder::isBrokenOff(const ActiveCall &Call) const {
+  if (!isSuccess(Call.Head.Status) || !Call.Head.EventStream)
+    return false;
+  return Call.Events.pending() > 0 ||
+         (Call.Head.EndsWithConnection && Call.Events.isEmpty());
+}
+
 void Forwarder::onDone(Time Now, SendId Send) {
   ActiveCall *Call = find(Send);
   if (!Call)
     return;
+  if (!Call->Head.NotRun && isBrokenOff(*Call))
+    return onError(Now, Send, SendError::Broken, "stream broken off");
   if (Call->Head.NotRun) {
     if (Call->Head.OtherInstance) {
       Engines.onReplaced(Call->Upstream.Id);
@@ -159,8 +168,6 @@
   if (isSuccess(Status) && Call.Head.EventStream) {
     if (!Call.HeadForwarded)
       Port.answerBegin(Call.Id, Status, Call.Head.Fields);
-    if (std::string Rest = Call.Events.takePartial(); !Rest.empty())
-      Port.answerData(Call.Id, std::move(Rest));
     Port.answerEnd(Call.Id);
     endCall(Now, Call, ServedOutcome);
   } else if (Call.HeadForwarded) {
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -325,6 +325,34 @@
   CHECK(E.Port.Sends.size() == 1);
 }
 
+TEST_CASE("a stream that ends inside an event or without any is not complete") {
+  struct EndRow {
+    const char *Body;
+    bool EndsWithConnection;
+    unsigned Status;
+    bool Aborted;
+  };
+  for (const EndRow &R :
+       {EndRow{"id: 1\n\n", true, 200, false},
+        EndRow{"id: 1\n\n", false, 200, false},
+        EndRow{"id: 1\n\nid: 2\nda", true, 200, true},
+        EndRow{"id: 1\n\nid: 2\nda", false, 200, true},
+        EndRow{"id: 1\nda", true, 502, false}, EndRow{"", true, 502, false},
+        EndRow{"", false, 200, false}}) {
+    CAPTURE(std::string(R.Body));
+    CAPTURE(R.EndsWithConnection);
+    Entry E;
+    E.call("/stream/x");
+    E.replyAdmission(2);
+    AnswerHead H = Entry::head(200);
+    H.EndsWithConnection = R.EndsWithConnection;
+    E.answer(10, H, R.Body);
+    CHECK(E.Port.Status == R.Status);
+    CHECK(E.Port.Aborted == R.Aborted);
+    CHECK(E.Port.Ends == 1);
+  }
+}
+
 TEST_CASE("Retry-After of a refusal is at most a third of the time left") {
   Entry E;
   E.call("/stream/x", 900);
