Bound the memory of answers without end

Callers and operators would see: an entry or side that an upstream, or another server it asks, sends bytes without end grows until it is killed.

Cause: the incomplete event of a stream had no limit, the limit for other answers held for each call only, and the client collected responses of any length. Class of fault: buffers bounded for one peer or not at all.

Fix: 256 KB for an event, 64 MB for all large answers of an entry, 16 MB for a collected response; beyond these the connection is reset and the caller gets 502, since the request may have run. A connection at whose end the response ended is not kept for reuse.

--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -132,6 +132,8 @@
     const RetryAllowance::Options &allowance() const { return Allowance; }
     size_t maxCalls() const { return MaxCalls; }
     size_t maxBuffered() const { return MaxBuffered; }
+    size_t maxBufferedByAll() const { return MaxBufferedByAll; }
+    size_t maxEventBytes() const { return MaxEventBytes; }
     Duration admissionTimeout() const { return AdmissionTimeout; }
     uint32_t maxAdmissionRequests() const { return MaxAdmissionRequests; }
     double maxWaitShare() const { return MaxWaitShare; }
@@ -157,6 +159,10 @@
     size_t MaxCalls = 4096;
     // Bytes. Answers other than streams are buffered until they are complete.
     size_t MaxBuffered = 8 * 1024 * 1024;
+    // Bytes of all large answers together; an entry has 260 MB or more.
+    size_t MaxBufferedByAll = 64 * 1024 * 1024;
+    // Bytes of one event of a stream. Events usually have a few hundred.
+    size_t MaxEventBytes = 256 * 1024;
     // A side answers within two network delays; 100 ms also covers a slow
     // instance.
     Duration AdmissionTimeout = std::chrono::milliseconds(100);
@@ -313,6 +319,8 @@
   bool isCurrent(const ActiveCall &Call, SendId Send) const;
   /// The call of \p Send; null if it has ended or \p Send is not its last send.
   ActiveCall *find(SendId Send);
+  /// Whether the buffered part of the answer is within the limits.
+  bool fitsBuffers(const ActiveCall &Call) const;
   /// Whether the stream that has ended was not complete.
   bool isBrokenOff(const ActiveCall &Call) const;
   void finishSend(Time Now, ActiveCall &Call, bool Failed);
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -25,6 +25,8 @@
 // A call with less time left is not sent: no upstream can answer it in time.
 constexpr Duration MinTimeLeft = std::chrono::milliseconds(5);
 
+// Answers up to this size, in bytes, are not counted against the total.
+constexpr size_t SmallAnswer = 64 * 1024;
 // Between removals of expired suspicions and verdicts.
 constexpr Duration CrashExpiryInterval = std::chrono::seconds(1);
 // Parts of a prompt in a log line.
@@ -117,13 +119,18 @@
   const bool Stream = isSuccess(Call->Head.Status) && Call->Head.EventStream;
   if (!Stream) {
     Call->Buffered += Part;
-    if (Call->Buffered.size() <= Opts.maxBuffered())
+    if (fitsBuffers(*Call))
       return;
     Port.cancelSend(Send);
     finishSend(Now, *Call, true);
     return onBroken(Now, *Call, EndReason::BadAnswer);
   }
   std::string Complete = Call->Events.feed(Part);
+  if (Call->Events.pending() > Opts.maxEventBytes()) {
+    Port.cancelSend(Send);
+    finishSend(Now, *Call, true);
+    return onBroken(Now, *Call, EndReason::BadAnswer);
+  }
   if (Complete.empty())
     return;
   noteOutput(Now, *Call);
@@ -135,6 +142,16 @@
   Port.answerData(Call->Id, std::move(Complete));
 }
 
+bool Forwarder::fitsBuffers(const ActiveCall &Call) const {
+  if (Call.Buffered.size() <= SmallAnswer)
+    return true;
+  size_t Sum = 0;
+  for (const auto &[Id, C] : Calls)
+    Sum += C.Buffered.size() + C.FailureBody.size();
+  return Call.Buffered.size() <= Opts.maxBuffered() &&
+         Sum <= Opts.maxBufferedByAll();
+}
+
 bool Forwarder::isBrokenOff(const ActiveCall &Call) const {
   if (!isSuccess(Call.Head.Status) || !Call.Head.EventStream)
     return false;
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -353,6 +353,55 @@
   }
 }
 
+TEST_CASE("an answer without end is cut off with bounded memory") {
+  constexpr size_t PartBytes = 64 * 1024;
+  struct EndlessRow {
+    const char *Target;
+    bool EventStream;
+    size_t MaxBytes;
+  };
+  const Forwarder::Options Opts;
+  for (const EndlessRow &R :
+       {EndlessRow{"/stream/x", true, Opts.maxEventBytes()},
+        EndlessRow{"/stream/x", false, Opts.maxBuffered()},
+        EndlessRow{"/once/x", false, Opts.maxBuffered()}}) {
+    CAPTURE(std::string(R.Target));
+    CAPTURE(R.EventStream);
+    Entry E;
+    E.call(R.Target);
+    if (!E.Port.Admissions.empty())
+      E.replyAdmission(2);
+    const SendId S = E.Port.Sends.back().Id;
+    AnswerHead H = Entry::head(200);
+    H.EventStream = R.EventStream;
+    E.Machine.onHead(at(3), S, H);
+    size_t Sent = 0;
+    for (; E.Port.Ends == 0 && Sent <= 2 * R.MaxBytes; Sent += PartBytes)
+      E.Machine.onData(at(4), S, std::string(PartBytes, 'x'));
+    CHECK(Sent <= R.MaxBytes + PartBytes);
+    CHECK(E.Port.Cancelled == 1);
+    CHECK(E.Port.Status == 502);
+    CHECK(E.Machine.callsInProgress() == 0);
+  }
+}
+
+TEST_CASE("large answers together are within the limit of the entry") {
+  Entry E;
+  const Forwarder::Options Opts;
+  const size_t Calls = 4 * Opts.maxBufferedByAll() / Opts.maxBuffered();
+  for (size_t I = 1; I <= Calls; ++I) {
+    E.call("/stream/x", 10000, {}, I);
+    E.replyAdmission(2);
+    AnswerHead H = Entry::head(200);
+    H.EventStream = false;
+    const SendId S = E.Port.Sends.back().Id;
+    E.Machine.onHead(at(3), S, H);
+    E.Machine.onData(at(4), S, std::string(Opts.maxBuffered() / 2, 'x'));
+  }
+  CHECK(E.Machine.callsInProgress() ==
+        2 * Opts.maxBufferedByAll() / Opts.maxBuffered());
+}
+
 TEST_CASE("Retry-After of a refusal is at most a third of the time left") {
   Entry E;
   E.call("/stream/x", 900);
--- a/http/client.cc
+++ b/http/client.cc
@@ -40,6 +40,9 @@
 // Effectively no limit: a call passes each part of the body on and keeps none
 // of them.
 constexpr uint64_t MaxBodyBytes = uint64_t(1) << 50;
+// Bytes of a response that fetch() collects. A page of the store's list has
+// about 1 MB.
+constexpr size_t MaxFetchBytes = 16 * 1024 * 1024;
 // TCP keep-alive: the first probe is sent after this idle time, further ones at
 // this interval; after this many unanswered probes the connection is closed.
 constexpr int KeepAliveIdleSeconds = 1;
@@ -259,8 +262,8 @@
 
   void done() {
     Finished = true;
-    if (Parser->get().keep_alive() && !Options.freshConnection() &&
-        RequestWritten && Buffer.size() == 0) {
+    if (Parser->keep_alive() && !Options.freshConnection() && RequestWritten &&
+        Buffer.size() == 0) {
       Stream->expires_never();
       const Duration Announced =
           announcedKeepAlive(std::string(Parser->get()["Keep-Alive"]));
@@ -357,14 +360,25 @@
 Client::fetch(const Endpoint &To, Request Req, CallOptions Options,
               std::function<void(const Response *, CallError)> Done) {
   auto Out = std::make_shared<Response>();
+  auto Started = std::make_shared<std::weak_ptr<Call>>();
   CallHandlers Handlers;
   Handlers.OnHead = [Out](const ResponseHead &Head) { Out->Head = Head; };
-  Handlers.OnData = [Out](std::string Part) { Out->Body += Part; };
+  Handlers.OnData = [Out, Started, Done](std::string Part) {
+    Out->Body += Part;
+    if (Out->Body.size() <= MaxFetchBytes)
+      return;
+    if (const auto Self = Started->lock())
+      Self->cancel();
+    Done(nullptr, CallError::Broken);
+  };
   Handlers.OnDone = [Out, Done] { Done(Out.get(), CallError::Broken); };
   Handlers.OnError = [Done](CallError Kind, const std::string &) {
     Done(nullptr, Kind);
   };
-  return start(To, std::move(Req), Options, std::move(Handlers));
+  std::shared_ptr<Call> Result =
+      start(To, std::move(Req), Options, std::move(Handlers));
+  *Started = Result;
+  return Result;
 }
 
 void Client::dropIdle(const Endpoint &To) {
--- a/http/client.h
+++ b/http/client.h
@@ -117,8 +117,9 @@
   /// Starts a call. Handlers run on Io's thread, never from within start().
   std::shared_ptr<Call> start(const Endpoint &To, Request Req,
                               CallOptions Options, CallHandlers Handlers);
-  /// Starts a call and collects its response. \p Done receives the complete
-  /// response, or null and the error on failure; on success the error is to be
+  /// Starts a call and collects its response, up to 16 MB; a longer one fails
+  /// the call. \p Done receives the complete response, or null and the error on
+  /// failure; on success the error is to be
   /// ignored.
   std::shared_ptr<Call>
   fetch(const Endpoint &To, Request Req, CallOptions Options,
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -2,6 +2,7 @@
 // respond early or disconnect.
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <thread>
 
 #include <boost/asio/connect.hpp>
@@ -300,3 +301,53 @@
   }
   CHECK(Served == 0);
 }
+
+TEST_CASE("a response without end fails the call and closes its connection") {
+  struct Row {
+    const char *Start;
+    const char *Part;
+    size_t MaxBytes;
+  };
+  constexpr size_t MiB = 1024 * 1024;
+  // Beside what the client reads, the sockets' buffers take some megabytes.
+  constexpr size_t SocketBuffers = 16 * MiB;
+  const Row Rows[] = {
+      {"", "x", MiB},
+      {"HTTP/1.1 200 OK\r\n", "A: b\r\n", MiB},
+      {"HTTP/1.1 200 OK\r\nA: ", "b", MiB},
+      {"HTTP/1.1 200 OK\r\n\r\n", "x", 16 * MiB},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n",
+       16 * MiB},
+      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;", "e", MiB},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(std::string(R.Start));
+    std::atomic<size_t> Written{0};
+    int Ended = 0;
+    bool Failed = false;
+    {
+      Peer P([&](Tcp::socket &Socket) {
+        readHead(Socket);
+        writeText(Socket, R.Start);
+        std::string Block;
+        while (Block.size() < 65536)
+          Block += R.Part;
+        boost::system::error_code Error;
+        while (!Error && Written < 8 * (R.MaxBytes + SocketBuffers))
+          Written += asio::write(Socket, asio::buffer(Block), Error);
+      });
+      asio::io_context Io;
+      http::Client Client(Io);
+      Client.fetch(P.endpoint(), http::Request(), http::CallOptions(),
+                   [&](const http::Response *Response, http::CallError) {
+                     ++Ended;
+                     Failed = !Response;
+                   });
+      Io.run();
+    }
+    CHECK(Ended == 1);
+    CHECK(Failed);
+    // A chunk of four bytes takes nine on the wire.
+    CHECK(Written <= 3 * R.MaxBytes + SocketBuffers);
+  }
+}
