Keep to the limit that an upstream names in its answers

Cause: no process read Server-Limit. Class of fault: a signal of an upstream in need that nothing acts on. The same cause elsewhere: plain services, and sends without admission while a side is silent; both are covered.

Fix: entries read the limit and tell the engine's side, which grants at that rate, counts the wait in its replies and load messages, and so moves requests to other engines. For plain services each entry keeps an equal share and rejects at once what would wait too long.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -94,7 +94,10 @@
   return heldAdapter(Name) && !isOutdated(Now, Name);
 }
 
-bool SideAdmission::hasCapacity(const AdmissionRequest &Request) const {
+bool SideAdmission::hasCapacity(const Time &Now,
+                                const AdmissionRequest &Request) const {
+  if (!RequestRate.allows(Now))
+    return false;
   if (Spec.BatchSlots > 0 && Grants.size() >= Spec.BatchSlots)
     return false;
   const double MaxTokens =
@@ -106,7 +109,8 @@
 
 Duration SideAdmission::expectedWait(const Time &Now,
                                      const AdmissionRequest &Request) const {
-  Duration Wait = Prefill.backlog(Now, Request.Rank);
+  Duration Wait =
+      Prefill.backlog(Now, Request.Rank) + RequestRate.wait(Now, Queue.size());
   if (!baseModel(Request.Model))
     Wait += Spec.Models.empty() ? std::chrono::seconds(1)
                                 : Spec.Models.front().LoadTime;
@@ -150,7 +154,7 @@
     return refuse(Request, std::chrono::milliseconds(300), true,
                   "engine_unreachable");
   const bool Ready = ready(Now, Request);
-  if (Ready && hasCapacity(Request) && Queue.empty())
+  if (Ready && hasCapacity(Now, Request) && Queue.empty())
     return grant(Now, Request);
   if (const std::string Name = adapterName(Request.Model, Request.Adapter);
       isOutdated(Now, Name) && heldAdapter(Name)->Pins > 0)
@@ -158,11 +162,11 @@
   const Duration Wait = expectedWait(Now, Request);
   if (Wait > Request.MaxWait || Queue.size() >= Opts.maxWaiting())
     return refuse(Request, Wait, Ready || !baseModel(Request.Model),
-                  Ready ? "engine_full" : "load_too_late");
+                  Ready ? fullReason(Now) : "load_too_late");
   AdmissionReply Reply;
   Reply.Decision = Verdict::Wait;
   Reply.Expected = Wait;
-  Reply.Reason = Ready ? "engine_full" : "loading";
+  Reply.Reason = Ready ? fullReason(Now) : "loading";
   Port.reply(Request, Reply);
   const auto Position =
       std::find_if(Queue.begin(), Queue.end(), [&](const WaitingRequest &W) {
@@ -178,7 +182,24 @@
   placeOrder(Now);
 }
 
+std::string_view SideAdmission::fullReason(const Time &Now) const {
+  return RequestRate.wait(Now, Queue.size()) > Duration(0) ? "engine_limited"
+                                                           : "engine_full";
+}
+
+void SideAdmission::onRequestLimit(const Time &Now, double PerSecond) {
+  if (PerSecond == RequestRate.rate())
+    return;
+  Port.log(LogClass::Kept,
+           "engine limit per_second=" + std::to_string(PerSecond) +
+               " before=" + std::to_string(RequestRate.rate()) +
+               " waiting=" + std::to_string(Queue.size()));
+  RequestRate.setRate(Now, PerSecond);
+  serveQueue(Now);
+}
+
 void SideAdmission::grant(const Time &Now, const AdmissionRequest &Request) {
+  RequestRate.take(Now);
   AdmissionReply Reply;
   Reply.Decision = Verdict::Go;
   Reply.Expected = Prefill.backlog(Now, Request.Rank);
@@ -256,7 +277,7 @@
       ++It;
       continue;
     }
-    if (!hasCapacity(It->Request))
+    if (!hasCapacity(Now, It->Request))
       return;
     const AdmissionRequest Request = std::move(It->Request);
     It = Queue.erase(It);
@@ -296,6 +317,9 @@
   EngineLoad Out;
   Out.Serving = Reachable && !Report.Models.empty();
   Out.Backlog = Prefill.backlogs(Now);
+  for (Duration &D : Out.Backlog)
+    D += RequestRate.wait(Now, Queue.size());
+  Out.RequestLimit = RequestRate.rate();
   Out.PrefillRate = Prefill.rate();
   Out.Utilisation = Prefill.utilisation(Now);
   Out.Running = static_cast<uint32_t>(Grants.size());
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -24,6 +24,7 @@
 #include "admission/load_window.h"
 #include "admission/prefill_model.h"
 #include "base/log_class.h"
+#include "base/rate_limit.h"
 #include "catalog/types.h"
 
 namespace goldcrestlink {
@@ -84,6 +85,8 @@
   double Utilisation = 0;
   /// Number of granted requests that have not ended.
   uint32_t Running = 0;
+  /// Requests per second that the engine takes; 0: no limit.
+  double RequestLimit = 0;
   /// Adapters that are ready for requests, by adapterHash().
   std::vector<uint32_t> Held;
 
@@ -169,6 +172,9 @@
              Duration FirstToken);
   /// The engine has answered with its state.
   void onReport(const Time &Now, const EngineReport &NewReport);
+  /// The engine names another limit for requests of all entries, in requests
+  /// per second, or none (0).
+  void onRequestLimit(const Time &Now, double PerSecond);
   /// The engine did not answer a request for its state.
   void onEngineUnreachable(const Time &Now);
   /// \p Outcome is the result of the order \p Number, Unknown if it got no
@@ -241,10 +247,11 @@
   const AdapterState *heldAdapter(const std::string &Name) const;
   bool ready(const Time &Now, const AdmissionRequest &Request) const;
   bool isOutdated(const Time &Now, const std::string &Name) const;
-  bool hasCapacity(const AdmissionRequest &Request) const;
+  bool hasCapacity(const Time &Now, const AdmissionRequest &Request) const;
   void grant(const Time &Now, const AdmissionRequest &Request);
   void refuse(const AdmissionRequest &Request, Duration RetryAfter,
               bool TryElsewhere, std::string_view Reason);
+  std::string_view fullReason(const Time &Now) const;
   Duration expectedWait(const Time &Now, const AdmissionRequest &Request) const;
   void serveQueue(const Time &Now);
   void expire(const Time &Now);
@@ -286,6 +293,7 @@
   Time NextBaseLoadAt{};
   Time NoOrderBefore{};
   PrefillModel Prefill;
+  RateLimit RequestRate;
   LoadWindow Loads;
   uint64_t TokensGranted = 0;
   uint64_t LoadsOrdered = 0;
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -97,6 +97,39 @@
   CHECK(S.Port.Replies[2] == Verdict::Go);
 }
 
+TEST_CASE("grants keep to the limit that the engine names") {
+  Side S({{"a", 1}});
+  S.Admission.onRequestLimit(at(0), 5);
+  uint64_t Id = 0;
+  size_t Granted = 0;
+  const auto RunUntil = [&](int64_t From, int64_t To) {
+    for (int64_t Ms = From; Ms < To; Ms += 10) {
+      S.Admission.onAdmissionRequest(at(Ms), request(++Id, "a"));
+      S.Admission.onTimer(at(Ms));
+      for (auto It = S.Port.Replies.begin(); It != S.Port.Replies.end();) {
+        if (It->second == Verdict::Go) {
+          ++Granted;
+          S.Admission.onEnd(at(Ms), "entry", It->first, Duration(0));
+        }
+        It = It->second == Verdict::Wait ? std::next(It)
+                                         : S.Port.Replies.erase(It);
+      }
+    }
+  };
+  RunUntil(0, 4000);
+  CHECK(Granted >= 18);
+  CHECK(Granted <= 22);
+  CHECK(S.Admission.load(at(4000)).RequestLimit == 5);
+  // The wait for the limit is known, so requests beyond it are refused at once.
+  S.Admission.onAdmissionRequest(at(4000), request(++Id, "a"));
+  CHECK(S.Port.Replies[Id] == Verdict::Refuse);
+  CHECK(S.Port.Reasons[Id] == "engine_limited");
+  S.Admission.onRequestLimit(at(4000), 0);
+  Granted = 0;
+  RunUntil(4000, 5000);
+  CHECK(Granted >= 99);
+}
+
 TEST_CASE("an adapter in use is never evicted") {
   Side S({{"a", 1}, {"b", 1}, {"c", 1}});
   for (uint64_t Id = 1; const char *Name : {"a", "b", "c"})
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -8,6 +8,12 @@
 
 namespace {
 constexpr double MinPrefillTokensPerMs = 0.1;
+// A greater limit, in requests per second, is none in practice.
+constexpr double MaxRate = 1e9;
+
+uint64_t toWireRate(double PerSecond) {
+  return static_cast<uint64_t>(std::min(PerSecond, MaxRate) * 1000);
+}
 } // namespace
 
 wire::Envelope encodeAdmissionRequest(const AdmissionRequest &Request) {
@@ -91,6 +97,7 @@
   Message.set_utilisation_percent(
       static_cast<uint32_t>(Load.Utilisation * 100));
   Message.set_running(Load.Running);
+  Message.set_limit_per_1000_s(toWireRate(Load.RequestLimit));
   for (const uint32_t Hash : Load.Held)
     Message.add_held(Hash);
   Message.set_upstream(std::string(UpstreamId));
@@ -109,8 +116,21 @@
       std::max(MinPrefillTokensPerMs, Message.prefill_tokens_per_s() / 1000.0);
   Load.Utilisation = Message.utilisation_percent() / 100.0;
   Load.Running = Message.running();
+  Load.RequestLimit = static_cast<double>(Message.limit_per_1000_s()) / 1000;
   Load.Held.assign(Message.held().begin(), Message.held().end());
   return Load;
 }
 
+wire::Envelope encodeLimit(std::string_view UpstreamId, double PerSecond) {
+  wire::Envelope Out;
+  wire::UpstreamLimit &Message = *Out.mutable_upstream_limit();
+  Message.set_upstream(std::string(UpstreamId));
+  Message.set_limit_per_1000_s(toWireRate(PerSecond));
+  return Out;
+}
+
+double decodeLimit(const wire::UpstreamLimit &Message) {
+  return static_cast<double>(Message.limit_per_1000_s()) / 1000;
+}
+
 } // namespace goldcrestlink
--- a/daemon/admission_codec.h
+++ b/daemon/admission_codec.h
@@ -23,6 +23,9 @@
 wire::Envelope encodeLoad(const EngineLoad &Load, std::string_view UpstreamId,
                           size_t EntryCount);
 EngineLoad decodeLoad(const wire::EngineLoad &Message);
+/// The limit that an upstream names, in requests per second; 0: none.
+wire::Envelope encodeLimit(std::string_view UpstreamId, double PerSecond);
+double decodeLimit(const wire::UpstreamLimit &Message);
 
 } // namespace goldcrestlink
 
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -92,7 +92,7 @@
                               .setWindow(ProcessSettings.Fleet.RetryWindow)),
                   *this, Seed),
         Rand(Seed) {
-    Forwarder.onEntries(InitialEntryCount);
+    Forwarder.onEntries(now(), InitialEntryCount);
     tick();
   }
 
@@ -236,6 +236,11 @@
                       std::string(forward::endReasonName(Why)) + "\n");
   }
 
+  void shareLimit(const UpstreamRecord &Upstream, double PerSecond) override {
+    wire::Envelope E = encodeLimit(Upstream.Id, PerSecond);
+    sideOf(Upstream).Connection->sendOrQueue(E);
+  }
+
   void probe(const UpstreamRecord &Upstream) override {
     Metrics.count("crash_probes_total");
     http::checkConnection(
@@ -430,7 +435,7 @@
     if (Count == 0 || Count == EntryCount)
       return;
     EntryCount = Count;
-    Forwarder.onEntries(Count);
+    Forwarder.onEntries(now(), Count);
     Sinks.EntryCount(Count);
   }
 
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -109,6 +109,8 @@
       Admission.onEnd(Now, Peer, Message.admission_end().id(),
                       Duration(static_cast<int64_t>(
                           Message.admission_end().first_token_us())));
+    else if (Message.has_upstream_limit())
+      onLimit(Now, Message.upstream_limit());
     else if (!onCrashMessage(Now, Peer, Message))
       onCatalogMessage(Now, Peer, Message);
     if (IsNew)
@@ -117,6 +119,12 @@
     rearmTickIfBusy();
   }
 
+  void onLimit(Time Now, const wire::UpstreamLimit &Message) {
+    // A limit ends with the incarnation that named it.
+    if (Message.upstream() == InstanceId)
+      Admission.onRequestLimit(Now, decodeLimit(Message));
+  }
+
   // Traffic thread: crash reports and quarantine verdicts.
 
   bool onCrashMessage(Time Now, const std::string &From,
@@ -314,6 +322,7 @@
       if (Report.StartedMs != StartedMs || InstanceId.empty()) {
         StartedMs = Report.StartedMs;
         InstanceId.clear();
+        Admission.onRequestLimit(Now, 0);
         requestIdentity();
       }
       // Orders name the engine's incarnation, so none is given before it is
--- a/forward/call.h
+++ b/forward/call.h
@@ -5,6 +5,7 @@
 #define GOLDCRESTLINK_FORWARD_CALL_H
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,9 @@
   bool EventStream = false;
   /// The body has neither a length nor chunks: it ends with the connection.
   bool EndsWithConnection = false;
+  /// Requests a second that the upstream takes from all entries together;
+  /// empty if it names no limit.
+  std::optional<double> RequestLimit = std::nullopt;
   /// The body has a content encoding, although the entry requests none.
   bool Encoded = false;
 };
--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -78,14 +78,16 @@
 }
 
 void EngineRanker::onSent(Time Now, const std::string &Id,
-                          const EngineRequirements &Required) {
+                          const EngineRequirements &Required,
+                          Duration Interval) {
   EngineState &State = States[Id];
   const Duration PrefillTime(static_cast<int64_t>(
       Required.PromptTokens * 1000.0 / State.Load.PrefillRate));
   // The engine prefills more urgent prompts first, so they do not wait for this
   // one.
   for (size_t Row = backlogRow(Required.Rank); Row < BacklogRanks; ++Row)
-    State.BacklogEnd[Row] = std::max(State.BacklogEnd[Row], Now) + PrefillTime;
+    State.BacklogEnd[Row] =
+        std::max(State.BacklogEnd[Row], Now) + PrefillTime + Interval;
 }
 
 void EngineRanker::onOutcome(Time Now, const std::string &Id, bool Failed) {
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -116,10 +116,11 @@
   void onLoad(Time Now, const std::string &Id, const EngineLoad &Load);
   /// A request for the adapter arrived at this entry.
   void onDemand(Time Now, const EngineRequirements &Required);
-  /// An admission request was sent to the engine's side. Adds the prompt to the
-  /// engine's known backlog until its next load report.
+  /// An admission request was sent to the engine's side. Adds the prompt, and
+  /// \p Interval if the engine limits its requests, to the engine's known
+  /// backlog until its next load report.
   void onSent(Time Now, const std::string &Id,
-              const EngineRequirements &Required);
+              const EngineRequirements &Required, Duration Interval);
   /// A call that was sent to the engine has ended.
   void onOutcome(Time Now, const std::string &Id, bool Failed);
   /// The side beside the engine did not answer in time.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -76,6 +76,7 @@
       ReadyUpstreams[U.Service].push_back(&U);
   Engines.retain(CurrentCatalog->upstreams());
   Balancer.retain(CurrentCatalog->upstreams());
+  Limits.retain(CurrentCatalog->upstreams());
   // Calls that wait for admission at a draining or removed upstream are placed
   // again.
   std::vector<uint64_t> ToMove;
@@ -108,9 +109,12 @@
 void Forwarder::onLoad(Time Now, const std::string &UpstreamId,
                        const EngineLoad &Load) {
   Engines.onLoad(Now, UpstreamId, Load);
+  if (Load.RequestLimit > 0)
+    Limits.onTold(Now, UpstreamId, Load.RequestLimit);
 }
 
-void Forwarder::onEntries(size_t Count) {
+void Forwarder::onEntries(Time Now, size_t Count) {
+  Limits.setEntries(Now, Count);
   Engines.setEntries(Count);
   Balancer.setEntries(Count);
 }
@@ -209,9 +213,7 @@
 // Plain services.
 
 void Forwarder::placeOnService(Time Now, ActiveCall &Call) {
-  const UpstreamRecord *U =
-      Balancer.choose(Now, upstreamsOf(Call.Service), Call.TriedUpstreams);
-  if (U) {
+  if (const UpstreamRecord *U = choosePlain(Now, Call)) {
     Call.Upstream = *U;
     return sendTo(Now, Call, 0);
   }
@@ -221,11 +223,15 @@
     return fail(Now, Call,
                 upstreamsOf(Call.Service).empty() ? EndReason::NoUpstream
                                                   : EndReason::Overloaded);
+  const auto MaxQueueTime = Duration(static_cast<int64_t>(
+      static_cast<double>(Call.Objective.count()) * Opts.maxQueueShare()));
+  if (const Duration Wait = limitWait(Call.Service, Queue.size());
+      Wait > MaxQueueTime) {
+    Call.RetryDelay = Wait;
+    return fail(Now, Call, EndReason::Overloaded);
+  }
   Call.CurrentStage = Stage::Queued;
-  Call.StageUntil =
-      Now +
-      Duration(static_cast<int64_t>(
-          static_cast<double>(Call.Objective.count()) * Opts.maxQueueShare()));
+  Call.StageUntil = Now + MaxQueueTime;
   schedule(Call.StageUntil, Call.Id);
   Queue.push_back(Call.Id);
 }
@@ -242,8 +248,7 @@
       continue;
     }
     ActiveCall &Call = It->second;
-    const UpstreamRecord *U =
-        Balancer.choose(Now, upstreamsOf(Service), Call.TriedUpstreams);
+    const UpstreamRecord *U = choosePlain(Now, Call);
     if (!U)
       return;
     Queue.pop_front();
@@ -252,6 +257,27 @@
   }
 }
 
+const UpstreamRecord *Forwarder::choosePlain(Time Now,
+                                             const ActiveCall &Call) const {
+  std::vector<const UpstreamRecord *> Allowed;
+  for (const UpstreamRecord *U : upstreamsOf(Call.Service))
+    if (Limits.allows(Now, U->Id))
+      Allowed.push_back(U);
+  return Balancer.choose(Now, Allowed, Call.TriedUpstreams);
+}
+
+Duration Forwarder::limitWait(const std::string &Service, size_t Ahead) const {
+  double PerSecond = 0;
+  for (const UpstreamRecord *U : upstreamsOf(Service)) {
+    const double Share = Limits.share(U->Id);
+    if (Share <= 0)
+      return Duration(0);
+    PerSecond += Share;
+  }
+  return PerSecond > 0 ? fromSeconds(static_cast<double>(Ahead) / PerSecond)
+                       : Duration(0);
+}
+
 // Engines.
 
 EngineRequirements Forwarder::requirementsOf(const ActiveCall &Call) const {
@@ -288,6 +314,9 @@
     if (Call.AdmissionRequests >= Opts.maxAdmissionRequests())
       break;
     if (!C.SideAnswers) {
+      if (!Limits.allows(Now, C.Upstream->Id))
+        continue;
+      Limits.onSent(Now, C.Upstream->Id);
       Call.Upstream = *C.Upstream;
       return sendTo(Now, Call, Required.Version);
     }
@@ -346,7 +375,8 @@
   Admission.MaxWait = Call.MaxWait;
   Admission.ObjectiveLeft = Call.Arrived + Call.Objective - Now;
   Admission.TimeLeft = Call.Deadline - Now;
-  Engines.onSent(Now, Call.Upstream.Id, requirementsOf(Call));
+  Engines.onSent(Now, Call.Upstream.Id, requirementsOf(Call),
+                 Limits.interval(Call.Upstream.Id));
   Port.requestAdmission(Call.Upstream, Admission);
 }
 
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -31,6 +31,7 @@
 #include "forward/event_splitter.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
+#include "forward/upstream_limits.h"
 
 namespace goldcrestlink::forward {
 
@@ -86,6 +87,9 @@
   /// The side beside \p Engine did not answer in time; its connection may be
   /// dead.
   virtual void onSideTimeout(const UpstreamRecord &Engine) = 0;
+  /// Informs the side beside \p Engine of the limit that the engine names, in
+  /// requests per second; 0: none.
+  virtual void shareLimit(const UpstreamRecord &Engine, double PerSecond) = 0;
   virtual void send(SendId Send, const IncomingCall &Request,
                     const SendOptions &SendOpts) = 0;
   /// Closes the connection that carries the send, if it is still open.
@@ -196,7 +200,7 @@
                    uint64_t AdmissionId, const AdmissionReply &Reply);
   void onLoad(Time Now, const std::string &UpstreamId, const EngineLoad &Load);
   /// \p Count is the number of live entries, this one included.
-  void onEntries(size_t Count);
+  void onEntries(Time Now, size_t Count);
   void onHead(Time Now, SendId Send, AnswerHead Head);
   void onData(Time Now, SendId Send, std::string Part);
   void onDone(Time Now, SendId Send);
@@ -299,6 +303,11 @@
   // Plain services.
   void placeOnService(Time Now, ActiveCall &Call);
   void sendQueued(Time Now, const std::string &Service);
+  /// The upstream for \p Call among those whose limits allow a request.
+  const UpstreamRecord *choosePlain(Time Now, const ActiveCall &Call) const;
+  /// Time until the limits allow a request after \p Ahead others; zero if an
+  /// upstream of the service has no limit.
+  Duration limitWait(const std::string &Service, size_t Ahead) const;
 
   // Engines.
   EngineRequirements requirementsOf(const ActiveCall &Call) const;
@@ -323,6 +332,8 @@
   bool fitsBuffers(const ActiveCall &Call) const;
   /// Whether the stream that has ended was not complete.
   bool isBrokenOff(const ActiveCall &Call) const;
+  /// Learns the limit that an answer names or no longer names.
+  void noteLimit(Time Now, const ActiveCall &Call);
   void finishSend(Time Now, ActiveCall &Call, bool Failed);
   void onNotRun(Time Now, ActiveCall &Call);
   void onBroken(Time Now, ActiveCall &Call, EndReason Why);
@@ -370,6 +381,7 @@
   uint64_t NextAdmissionId;
   EngineRanker Engines;
   ServiceBalancer Balancer;
+  UpstreamLimits Limits;
   CrashDetector Detector;
   CrashAttribution Crashes;
   Time NextCrashExpiry{};
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -54,8 +54,10 @@
   Call.Events.dropPartial();
   Call.TriedUpstreams.insert(Call.Upstream.Id);
   ++Call.Sends;
-  if (!Call.IsEngine)
+  if (!Call.IsEngine) {
     Balancer.onSent(Call.Upstream.Id);
+    Limits.onSent(Now, Call.Upstream.Id);
+  }
   SendOptions SendOpts;
   SendOpts.To = Call.Upstream;
   SendOpts.TimeLeft = Call.Deadline - Now;
@@ -106,10 +108,25 @@
   }
   Call->Head = std::move(Head);
   Call->HasHead = true;
+  noteLimit(Now, *Call);
   if (!Call->Head.NotRun)
     Call->MayHaveRun = true;
 }
 
+void Forwarder::noteLimit(Time Now, const ActiveCall &Call) {
+  const std::string &Id = Call.Upstream.Id;
+  const double Before = Limits.perSecond(Id);
+  const std::optional<double> Named = Limits.onAnswer(Now, Id, Call.Head);
+  if (!Named)
+    return;
+  if (*Named != Before)
+    Port.log(LogClass::Kept, "upstream_limit upstream=" + Id +
+                                 " per_second=" + std::to_string(*Named) +
+                                 " before=" + std::to_string(Before));
+  if (Call.IsEngine)
+    Port.shareLimit(Call.Upstream, *Named);
+}
+
 void Forwarder::onData(Time Now, SendId Send, std::string Part) {
   ActiveCall *Call = find(Send);
   if (!Call || !Call->HasHead)
@@ -364,6 +381,9 @@
     NextCrashExpiry = Now + CrashExpiryInterval;
     Crashes.expire(Now);
   }
+  // The limits of upstreams allow further requests as time passes.
+  for (const auto &[Service, Queue] : Queues)
+    sendQueued(Now, Service);
   while (!Timers.empty() && Timers.top().first <= Now) {
     const uint64_t Id = Timers.top().second;
     Timers.pop();
@@ -395,11 +415,14 @@
     Port.onSideTimeout(Call.Upstream);
     // An engine reliably refuses what it cannot serve, so sending to it without
     // admission by its side is safe.
-    if (Call.UpstreamHoldsAdapter && isUsable(Call.Upstream.Id))
+    if (Call.UpstreamHoldsAdapter && isUsable(Call.Upstream.Id) &&
+        Limits.allows(Now, Call.Upstream.Id)) {
+      Limits.onSent(Now, Call.Upstream.Id);
       return sendTo(
           Now, Call,
           CurrentCatalog->releasedVersion(Call.Request.Inference.Model,
                                           Call.Request.Inference.Adapter));
+    }
     Call.TriedUpstreams.insert(Call.Upstream.Id);
     return placeOnEngine(Now, Call);
   case Stage::WaitingAtSide:
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -110,6 +110,9 @@
     Reason = Why;
     ++Ends;
   }
+  void shareLimit(const UpstreamRecord &, double PerSecond) override {
+    Limit = PerSecond;
+  }
   void probe(const UpstreamRecord &Upstream) override {
     Probes.push_back(Upstream.Id);
   }
@@ -129,6 +132,7 @@
   std::vector<Sent> Sends;
   std::set<uint64_t> EndedAdmissions;
   std::vector<std::string> Probes;
+  double Limit = -1;
   std::vector<CrashReport> Reports;
   std::vector<RequestTrait> Outputs;
   std::vector<TraitVerdict> Verdicts;
@@ -489,6 +493,48 @@
   CHECK(E.Machine.callsInProgress() == 0);
 }
 
+TEST_CASE(
+    "calls beyond the limits that all upstreams name are rejected at once") {
+  Entry E;
+  E.Machine.onEntries(at(0), 1);
+  for (uint64_t Id = 1; Id <= 2; ++Id) {
+    E.call("/once/x", 10000, {}, Id);
+    AnswerHead H = Entry::head(200);
+    H.RequestLimit = 2;
+    E.answer(10, H, "x");
+  }
+  REQUIRE(E.Port.Sends.size() == 2);
+  E.Port.Ends = 0;
+  // Four a second together, and 0.6 of an objective of a second in the queue.
+  for (uint64_t Id = 3; Id <= 12; ++Id)
+    E.call("/once/x", 10000, {}, Id);
+  CHECK(E.Port.Sends.size() == 2);
+  CHECK(E.Port.Status == 503);
+  CHECK(E.Port.Reason == EndReason::Overloaded);
+  CHECK(E.Port.RetryAfter >= std::chrono::milliseconds(600));
+  CHECK(E.Port.Ends == 7);
+  E.Machine.onTimer(at(590));
+  CHECK(E.Port.Sends.size() == 4);
+}
+
+TEST_CASE("the side is told what limit its engine names, and when it ends") {
+  Entry E;
+  EngineLoad L;
+  L.Serving = true;
+  L.Held = {adapterHash("m", "a1")};
+  E.Machine.onLoad(at(0), "e2", L);
+  for (const double Named : {7.5, 0.0}) {
+    E.call("/stream/x");
+    E.replyAdmission(2);
+    REQUIRE(E.Port.Sends.back().SendOpts.To.Id == "e2");
+    AnswerHead H = Entry::head(200);
+    if (Named > 0)
+      H.RequestLimit = Named;
+    E.answer(10, H, "id: 1\n\n");
+    CHECK(E.Port.Limit == Named);
+  }
+}
+
 TEST_CASE("a broken send is reported as a crash if its upstream accepts no "
           "connection and the send had no output") {
   struct CrashRow {
--- a/forward/testing/parts_test.cc
+++ b/forward/testing/parts_test.cc
@@ -5,10 +5,12 @@
 #include <algorithm>
 
 #include "base/random.h"
+#include "base/rate_limit.h"
 #include "forward/engine_ranker.h"
 #include "forward/event_splitter.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
+#include "forward/upstream_limits.h"
 
 using namespace goldcrestlink;
 using namespace goldcrestlink::forward;
@@ -173,3 +175,68 @@
   CHECK(Balancer.choose(at(2), Both, {}) == nullptr);
   CHECK(Balancer.choose(at(5000), Both, {})->Id == "b");
 }
+
+TEST_CASE("a rate limit holds over any time longer than its burst") {
+  for (const double Rate : {0.5, 4.5, 40.0, 1000.0}) {
+    CAPTURE(Rate);
+    RateLimit L;
+    CHECK(L.allows(at(0)));
+    L.setRate(at(0), Rate);
+    std::vector<int64_t> Taken;
+    for (int64_t Ms = 0; Ms < 20000; ++Ms) {
+      // Idle for a while, then always in demand.
+      if (Ms < 5000 || !L.allows(at(Ms)))
+        continue;
+      CHECK(L.wait(at(Ms), 0) == Duration(0));
+      L.take(at(Ms));
+      Taken.push_back(Ms);
+    }
+    const double Burst = std::max(1.0, Rate * seconds(RateLimit::BurstTime));
+    for (size_t I = 0; I < Taken.size(); I += 7) {
+      const auto InWindow = static_cast<double>(
+          std::lower_bound(Taken.begin(), Taken.end(), Taken[I] + 4000) -
+          Taken.begin() - static_cast<std::ptrdiff_t>(I));
+      CHECK(InWindow <= 4 * Rate + Burst + 1);
+    }
+    CHECK(static_cast<double>(Taken.size()) >= 0.9 * 15 * Rate);
+    L.setRate(at(20000), 0);
+    CHECK(L.allows(at(20000)));
+  }
+}
+
+TEST_CASE("entries share the limit that an upstream names") {
+  AnswerHead Named;
+  Named.Signed = true;
+  Named.RequestLimit = 8;
+  AnswerHead Plain;
+  Plain.Signed = true;
+  AnswerHead Unsigned;
+  UpstreamLimits L;
+  L.setEntries(at(0), 4);
+  CHECK(L.onAnswer(at(0), "u", Named) == 8.0);
+  CHECK(L.share("u") == 2.0);
+  CHECK_FALSE(L.allows(at(400), "u"));
+  CHECK(L.allows(at(501), "u"));
+  L.onSent(at(501), "u");
+  CHECK_FALSE(L.allows(at(502), "u"));
+  // An entry has stopped.
+  L.setEntries(at(600), 2);
+  CHECK(L.share("u") == 4.0);
+  CHECK_FALSE(L.onAnswer(at(700), "u", Unsigned));
+  CHECK(L.perSecond("u") == 8.0);
+  CHECK(L.onAnswer(at(800), "u", Plain) == 0.0);
+  CHECK_FALSE(L.onAnswer(at(900), "u", Plain));
+  CHECK(L.allows(at(900), "u"));
+  // What the side knows does not replace what the upstream has named.
+  L.onTold(at(1000), "v", 3);
+  CHECK(L.perSecond("v") == 3.0);
+  CHECK(L.onAnswer(at(1000), "v", Named) == 8.0);
+  L.onTold(at(1000), "v", 3);
+  CHECK(L.perSecond("v") == 8.0);
+  // A limit of zero leaves room for the requests that notice its end.
+  Named.RequestLimit = 0;
+  L.onAnswer(at(1000), "v", Named);
+  CHECK(L.allows(at(6000), "v"));
+  L.retain({});
+  CHECK(L.perSecond("v") == 0.0);
+}
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -7,6 +7,7 @@
 #ifndef GOLDCRESTLINK_TESTING_PLATFORM_DEPLOYMENT_H
 #define GOLDCRESTLINK_TESTING_PLATFORM_DEPLOYMENT_H
 
+#include <atomic>
 #include <filesystem>
 #include <map>
 #include <memory>
@@ -62,7 +63,7 @@
   std::filesystem::path Folder;
   int LinkPort;
   int MetricsPort;
-  int LastId = 0;
+  std::atomic<int> LastId{0};
   std::map<std::string, std::unique_ptr<Process>> Processes;
 };
 
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -197,6 +197,11 @@
   onThread([&] { Impl->at(Name).setFault(F); });
 }
 
+void PlatformStandIn::setLimit(const std::string &Name,
+                               const std::string &PerSecond) {
+  onThread([&] { Impl->at(Name).setLimit(PerSecond); });
+}
+
 void PlatformStandIn::setDeadly(const std::string &Part,
                                 const std::string &Body) {
   onThread([&] {
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -66,6 +66,9 @@
   /// and does nothing if the upstream is running.
   bool start(const std::string &Name, const std::string &Id = "");
   void setFault(const std::string &Name, UpstreamFault F);
+  /// From now on the upstream's answers name this limit, in requests per
+  /// second; empty: none.
+  void setLimit(const std::string &Name, const std::string &PerSecond);
   /// From now on upstreams crash on requests with this part in their prompts,
   /// or with this body, and start again later. Empty: none.
   void setDeadly(const std::string &Part, const std::string &Body);
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -118,6 +118,7 @@
 
 void UpstreamStandIn::onCallerRequest(const http::Request &Request,
                                       const ResponderPtr &Responder) {
+  Tally.Arrivals.push_back(currentTime().Steady);
   Description.IsEngine ? onGeneration(Request, Responder)
                        : onPlain(Request, Responder);
 }
@@ -128,6 +129,8 @@
       {"Request-Id", std::string(Request.header("Request-Id"))}};
   if (Fault != UpstreamFault::Unsigned)
     Out.push_back({"Response-Seal", "seal-" + Description.Id});
+  if (!Limit.empty())
+    Out.push_back({"Server-Limit", Limit});
   return Out;
 }
 
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -34,6 +34,8 @@
   /// Orders to unload an adapter in use. They take effect when its runs end.
   int UnloadsInUse = 0;
   int Orders = 0;
+  /// When callers' requests arrived, executed or rejected.
+  std::vector<Time> Arrivals;
   /// Crashes caused by a request.
   int Crashes = 0;
 };
@@ -121,6 +123,8 @@
   void resetState();
   bool running() const { return Server != nullptr; }
   void setFault(UpstreamFault F) { Fault = F; }
+  /// The limit that answers name, in requests per second; empty: none.
+  void setLimit(std::string PerSecond) { Limit = std::move(PerSecond); }
   /// Sets when the store began to show the upstream as draining or removed;
   /// Time{} if it shows the upstream as ready.
   void setDraining(Time Since) { DrainingSince = Since; }
@@ -176,6 +180,7 @@
   std::vector<ResponderPtr> Unanswered;
   UpstreamTally Tally;
   UpstreamFault Fault = UpstreamFault::None;
+  std::string Limit;
   Time DrainingSince{};
   bool HasBaseModel = true;
   /// Incremented by each reset of the state; "born" in reports.
