--- a/forward/crash_attribution.cc
+++ b/forward/crash_attribution.cc
@@ -208,7 +208,7 @@
   return Out;
 }
 
-void CrashAttribution::setVerdict(uint64_t Trait, const Verdict &New) {
+void CrashAttribution::setVerdict(uint64_t Trait, const StoredVerdict &New) {
   if (!Verdicts.contains(Trait) && Verdicts.size() >= Opts.maxVerdicts())
     Verdicts.erase(std::min_element(
         Verdicts.begin(), Verdicts.end(), [](const auto &A, const auto &B) {
--- a/forward/crash_attribution.h
+++ b/forward/crash_attribution.h
@@ -143,7 +143,7 @@
     std::vector<Crash> Crashes;
     Time UpdatedAt;
   };
-  struct Verdict {
+  struct StoredVerdict {
     uint32_t Version = 0;
     bool Quarantined = false;
     Time ExpiresAt;
@@ -161,13 +161,13 @@
   const RequestTrait *mostSuspect(const CrashReport &Report) const;
   /// Removes \p Crashes, whose cause is known, from all suspects.
   void explain(const std::vector<Crash> &Crashes);
-  void setVerdict(uint64_t Trait, const Verdict &New);
+  void setVerdict(uint64_t Trait, const StoredVerdict &New);
   void makeRoomForSuspects();
   void updateDigest();
 
   Options Opts;
   std::unordered_map<uint64_t, Suspect> Suspects;
-  std::map<uint64_t, Verdict> Verdicts;
+  std::map<uint64_t, StoredVerdict> Verdicts;
   // Times of the last output. When Recent is full it replaces Older.
   Outputs Recent;
   Outputs Older;
