Refuse requests that can no longer be granted within an engine's limit

Cause: the expected wait was computed on arrival only. Class of fault: a refusal that comes late though its outcome is known.

Fix: on each timer a waiting request is refused if the limit cannot serve the ready requests ahead of it before its time is up.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -286,15 +286,22 @@
 }
 
 void SideAdmission::expire(const Time &Now) {
+  // More urgent requests that came later are ahead now, so the engine's limit
+  // may not allow a request any more before its time is up.
+  size_t ReadyAhead = 0;
   for (auto It = Queue.begin(); It != Queue.end();) {
-    if (Now < It->Until) {
+    const bool TooLate = Now >= It->Until;
+    const bool Hopeless = RequestRate.wait(Now, ReadyAhead) > It->Until - Now;
+    if (!TooLate && !Hopeless) {
+      if (RequestRate.isLimited() && ready(Now, It->Request))
+        ++ReadyAhead;
       ++It;
       continue;
     }
     const AdmissionRequest Request = std::move(It->Request);
     It = Queue.erase(It);
     refuse(Request, expectedWait(Now, Request), ready(Now, Request),
-           "waited_too_long");
+           TooLate ? "waited_too_long" : "engine_limited");
   }
   std::vector<RequestKey> Expired;
   for (const auto &[Id, G] : Grants)
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -130,6 +130,25 @@
   CHECK(Granted >= 99);
 }
 
+TEST_CASE("a request that urgent ones have overtaken at a limit is refused at "
+          "once") {
+  Side S({{"a", 1}});
+  S.Admission.onRequestLimit(at(0), 5);
+  S.Admission.onAdmissionRequest(at(0), request(1, "a", 2));
+  REQUIRE(S.Port.Replies[1] == Verdict::Wait);
+  // Each takes a fifth of a second; the first one may wait 1.8 s.
+  for (uint64_t Id = 2; Id <= 12; ++Id)
+    S.Admission.onAdmissionRequest(at(10), [&] {
+      AdmissionRequest A = request(Id, "a", 0);
+      A.MaxWait = std::chrono::seconds(5);
+      return A;
+    }());
+  S.Admission.onTimer(at(20));
+  CHECK(S.Port.Replies[1] == Verdict::Refuse);
+  CHECK(S.Port.Reasons[1] == "engine_limited");
+  CHECK(S.Port.Replies[12] == Verdict::Wait);
+}
+
 TEST_CASE("an adapter in use is never evicted") {
   Side S({{"a", 1}, {"b", 1}, {"c", 1}});
   for (uint64_t Id = 1; const char *Name : {"a", "b", "c"})
