Use one token bucket for load permits and for limits of upstreams

RateLimit repeated the token bucket of the load broker. The bucket moves to base/, learns to change its rate, and RateLimit is an optional one.

--- a/base/rate_limit.h
+++ b/base/rate_limit.h
@@ -1,4 +1,4 @@
-// A token bucket for a rate that can change or be absent.
+// A limit of requests per second that can change or be absent.
 //
 //   RateLimit L;
 //   L.setRate(Now, 7.5);                 // requests a second; 0: no limit
@@ -7,8 +7,9 @@
 #define GOLDCRESTLINK_BASE_RATE_LIMIT_H
 
 #include <cstddef>
+#include <optional>
 
-#include "base/time.h"
+#include "base/token_bucket.h"
 
 namespace goldcrestlink {
 
@@ -21,20 +22,17 @@
   /// Sets the requests allowed per second; 0 for no limit. A new limit begins
   /// with an empty bucket.
   void setRate(Time Now, double PerSecond);
-  bool isLimited() const { return Rate > 0; }
+  bool isLimited() const { return Bucket.has_value(); }
   double rate() const { return Rate; }
   bool allows(Time Now) const;
-  /// Takes one request from the bucket, below zero if it is empty.
+  /// Counts one request. Precondition: allows().
   void take(Time Now);
   /// Time until a request is allowed after \p Ahead others.
   Duration wait(Time Now, size_t Ahead) const;
 
 private:
-  double tokensAt(Time Now) const;
-
   double Rate = 0;
-  double Tokens = 0;
-  Time UpdatedAt{};
+  std::optional<TokenBucket> Bucket;
 };
 
 } // namespace goldcrestlink
--- a/placement/load_broker.cc
+++ b/placement/load_broker.cc
@@ -9,30 +9,6 @@
 
 namespace goldcrestlink {
 
-void TokenBucket::refill(Time Now) {
-  if (Updated == Time{})
-    Updated = Now;
-  if (Now <= Updated)
-    return;
-  Level = std::min(Burst, Level + Rate * seconds(Now - Updated));
-  Updated = Now;
-}
-
-bool TokenBucket::take(Time Now) {
-  refill(Now);
-  if (Level < 1)
-    return false;
-  Level -= 1;
-  return true;
-}
-
-void TokenBucket::returnToken() { Level = std::min(Burst, Level + 1); }
-
-Duration TokenBucket::untilNext(Time Now) const {
-  const double Tokens = std::min(Burst, Level + Rate * seconds(Now - Updated));
-  return Tokens >= 1 ? Duration(0) : fromSeconds((1 - Tokens) / Rate);
-}
-
 LoadBroker::LoadBroker(Options O, std::vector<double> RankShares)
     : Limits(O), Bucket(O.rate(), O.burst()),
       Shares(std::move(RankShares), std::chrono::seconds(10)) {}
--- a/placement/load_broker.h
+++ b/placement/load_broker.h
@@ -15,33 +15,11 @@
 #include <vector>
 
 #include "base/time.h"
+#include "base/token_bucket.h"
 #include "scheduling/share_tracker.h"
 
 namespace goldcrestlink {
 
-/// Token bucket: limits events to an average rate and allows bursts. Not
-/// thread-safe.
-class TokenBucket {
-public:
-  /// \p Rate in events per second; \p Burst is the capacity in tokens.
-  TokenBucket(double Rate, double Burst)
-      : Rate(Rate), Burst(Burst), Level(Burst) {}
-  /// Takes a token; false if there is none.
-  bool take(Time Now);
-  /// Returns a token that was taken but not used.
-  void returnToken();
-  /// Time until a token is available.
-  Duration untilNext(Time Now) const;
-
-private:
-  void refill(Time Now);
-  double Rate;
-  double Burst;
-  // Number of tokens available as of Updated.
-  double Level;
-  Time Updated{};
-};
-
 /// A load request: a side asks for a permit to load one adapter.
 struct PermitRequest {
   std::string Side;
--- a/standins/store.cc
+++ b/standins/store.cc
@@ -12,8 +12,8 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include "base/token_bucket.h"
 #include "http/server.h"
-#include "placement/load_broker.h"
 
 using namespace goldcrestlink;
 
