Count the wait for a full batch in the expected wait

Callers saw: while most engines name a limit, requests at another one waited until their time was up instead of being refused or sent elsewhere.

Cause: the expected wait, which sides reply and entries rank by, took only prefill and loads into account, not slots and memory. Class of fault: a queue without feedback.

Fix: the side measures how long runs take and adds the time until one ends for each ready request that waits.

The new test failed before (20 of 20 requests waited, backlog 20 ms) and passes.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -19,6 +19,9 @@
 // entries repeat their prefetch requests.
 constexpr Duration PrefetchExpiry = std::chrono::seconds(1);
 
+// The mean time of a run is taken over about this many.
+constexpr int64_t RunTimeSamples = 16;
+
 // On average, a request uses about half of its maximum number of output tokens.
 uint64_t expectedTokens(const AdmissionRequest &Request) {
   return Request.PromptTokens + Request.OutputTokens / 2;
@@ -94,23 +97,35 @@
   return heldAdapter(Name) && !isOutdated(Now, Name);
 }
 
-bool SideAdmission::hasCapacity(const Time &Now,
-                                const AdmissionRequest &Request) const {
-  if (!RequestRate.allows(Now))
-    return false;
+bool SideAdmission::batchHasRoom(uint64_t Tokens) const {
   if (Spec.BatchSlots > 0 && Grants.size() >= Spec.BatchSlots)
     return false;
   const double MaxTokens =
       static_cast<double>(Spec.MemoryTokens) * Opts.memoryShare();
   return Grants.empty() || Spec.MemoryTokens == 0 ||
-         static_cast<double>(TokensGranted + expectedTokens(Request)) <=
-             MaxTokens;
+         static_cast<double>(TokensGranted + Tokens) <= MaxTokens;
+}
+
+bool SideAdmission::hasCapacity(const Time &Now,
+                                const AdmissionRequest &Request) const {
+  return RequestRate.allows(Now) && batchHasRoom(expectedTokens(Request));
+}
+
+Duration SideAdmission::batchWait(const Time &Now, uint64_t Tokens) const {
+  if (batchHasRoom(Tokens))
+    return Duration(0);
+  const auto Ahead =
+      std::count_if(Queue.begin(), Queue.end(), [&](const WaitingRequest &W) {
+        return ready(Now, W.Request);
+      });
+  return MeanRunTime * (Ahead + 1) / static_cast<int64_t>(Grants.size());
 }
 
 Duration SideAdmission::expectedWait(const Time &Now,
                                      const AdmissionRequest &Request) const {
-  Duration Wait =
-      Prefill.backlog(Now, Request.Rank) + RequestRate.wait(Now, Queue.size());
+  Duration Wait = Prefill.backlog(Now, Request.Rank) +
+                  std::max(RequestRate.wait(Now, Queue.size()),
+                           batchWait(Now, expectedTokens(Request)));
   if (!baseModel(Request.Model))
     Wait += Spec.Models.empty() ? std::chrono::seconds(1)
                                 : Spec.Models.front().LoadTime;
@@ -244,6 +259,10 @@
     return;
   }
   const Grant &G = It->second;
+  const Duration RunTime = Now - G.GrantedAt;
+  MeanRunTime = MeanRunTime == Duration(0)
+                    ? RunTime
+                    : MeanRunTime + (RunTime - MeanRunTime) / RunTimeSamples;
   if (FirstToken > Duration(0) && G.FoundIdle)
     Prefill.learn(G.PromptTokens, FirstToken);
 
@@ -324,8 +343,10 @@
   EngineLoad Out;
   Out.Serving = Reachable && !Report.Models.empty();
   Out.Backlog = Prefill.backlogs(Now);
+  const Duration Wait =
+      std::max(RequestRate.wait(Now, Queue.size()), batchWait(Now, 0));
   for (Duration &D : Out.Backlog)
-    D += RequestRate.wait(Now, Queue.size());
+    D += Wait;
   Out.RequestLimit = RequestRate.rate();
   Out.PrefillRate = Prefill.rate();
   Out.Utilisation = Prefill.utilisation(Now);
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -247,6 +247,10 @@
   const AdapterState *heldAdapter(const std::string &Name) const;
   bool ready(const Time &Now, const AdmissionRequest &Request) const;
   bool isOutdated(const Time &Now, const std::string &Name) const;
+  /// Whether another request of \p Tokens fits into slots and memory.
+  bool batchHasRoom(uint64_t Tokens) const;
+  /// Expected time until it does, after the ready requests that wait.
+  Duration batchWait(const Time &Now, uint64_t Tokens) const;
   bool hasCapacity(const Time &Now, const AdmissionRequest &Request) const;
   void grant(const Time &Now, const AdmissionRequest &Request);
   void refuse(const AdmissionRequest &Request, Duration RetryAfter,
@@ -294,6 +298,8 @@
   Time NoOrderBefore{};
   PrefillModel Prefill;
   RateLimit RequestRate;
+  // From the grant to the end of a request; zero until one has ended.
+  Duration MeanRunTime{};
   LoadWindow Loads;
   uint64_t TokensGranted = 0;
   uint64_t LoadsOrdered = 0;
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -149,6 +149,30 @@
   CHECK(S.Port.Replies[12] == Verdict::Wait);
 }
 
+TEST_CASE(
+    "requests that a full batch cannot serve in time are refused at once") {
+  Side S({{"a", 1}});
+  // Four slots and runs of 400 ms: ten requests a second.
+  uint64_t Id = 0;
+  for (int64_t Round = 0; Round < 8; ++Round) {
+    for (int I = 0; I < 4; ++I)
+      S.Admission.onAdmissionRequest(at(Round * 400), request(++Id, "a"));
+    for (uint64_t Ended = Id - 3; Ended <= Id && Round < 7; ++Ended)
+      S.Admission.onEnd(at(Round * 400 + 400), "entry", Ended, Duration(0));
+  }
+  REQUIRE(S.Admission.granted() == 4);
+  const int64_t Full = 7 * 400;
+  CHECK(S.Admission.load(at(Full)).Backlog[0] >=
+        std::chrono::milliseconds(100));
+  // Nine can wait for at most 900 ms.
+  for (int I = 0; I < 20; ++I)
+    S.Admission.onAdmissionRequest(at(Full), request(++Id, "a"));
+  CHECK(S.Admission.waiting() >= 7);
+  CHECK(S.Admission.waiting() <= 9);
+  CHECK(S.Port.Replies[Id] == Verdict::Refuse);
+  CHECK(S.Port.Reasons[Id] == "engine_full");
+}
+
 TEST_CASE("an adapter in use is never evicted") {
   Side S({{"a", 1}, {"b", 1}, {"c", 1}});
   for (uint64_t Id = 1; const char *Name : {"a", "b", "c"})
