Attribute crashes to parts that were in use before, and spare shared ones

Found on a second reading; no caller has seen it.

Cause: entries told each other of output without its age, and repeated what they had heard, so a part in use stayed clear as long as crashes came. An entry without history could quarantine the first part of a route when several upstreams failed together. Class of fault: hearsay taken for evidence, and one event counted several times.

Fix: reports of output carry its age and clear only what is older; crashes within 50 ms count as one where they may have another cause; a trait with recent output is spared until the fifth crash, not for good; an entry with recent output lifts a quarantine.

--- a/daemon/crash_codec.cc
+++ b/daemon/crash_codec.cc
@@ -27,8 +27,8 @@
   return Out;
 }
 
-template <class M>
-void encodeTraits(M &Message, std::span<const forward::RequestTrait> Traits) {
+void encodeTraits(wire::CrashReport &Message,
+                  std::span<const forward::RequestTrait> Traits) {
   for (const forward::RequestTrait &T : Traits) {
     Message.add_traits(T.Hash);
     Message.add_depths(T.Depth);
@@ -51,15 +51,28 @@
           decodeTraits(Message)};
 }
 
-wire::Envelope encodeOutput(std::span<const forward::RequestTrait> Traits) {
+wire::Envelope encodeOutput(std::span<const forward::TraitOutput> Outputs) {
   wire::Envelope Out;
-  encodeTraits(*Out.mutable_trait_output(), Traits);
+  wire::TraitOutput &Message = *Out.mutable_trait_output();
+  for (const forward::TraitOutput &O : Outputs) {
+    Message.add_traits(O.Trait.Hash);
+    Message.add_depths(O.Trait.Depth);
+    Message.add_ages_us(static_cast<uint64_t>(O.Age.count()));
+  }
   return Out;
 }
 
-std::vector<forward::RequestTrait>
+std::vector<forward::TraitOutput>
 decodeOutput(const wire::TraitOutput &Message) {
-  return decodeTraits(Message);
+  std::vector<forward::TraitOutput> Out;
+  for (const forward::RequestTrait &T : decodeTraits(Message)) {
+    const int I = static_cast<int>(Out.size());
+    // Output of unknown age clears nothing.
+    Out.push_back({T, I < Message.ages_us_size()
+                          ? Duration(static_cast<int64_t>(Message.ages_us(I)))
+                          : std::chrono::hours(1)});
+  }
+  return Out;
 }
 
 wire::Envelope encodeVerdicts(std::span<const forward::TraitVerdict> Verdicts,
--- a/daemon/crash_codec.h
+++ b/daemon/crash_codec.h
@@ -18,8 +18,8 @@
 wire::Envelope encodeCrashReport(const forward::CrashReport &Report);
 /// Keeps at most as many traits as an entry reports.
 forward::CrashReport decodeCrashReport(const wire::CrashReport &Message);
-wire::Envelope encodeOutput(std::span<const forward::RequestTrait> Traits);
-std::vector<forward::RequestTrait>
+wire::Envelope encodeOutput(std::span<const forward::TraitOutput> Outputs);
+std::vector<forward::TraitOutput>
 decodeOutput(const wire::TraitOutput &Message);
 wire::Envelope encodeVerdicts(std::span<const forward::TraitVerdict> Verdicts,
                               uint64_t Digest);
--- a/daemon/crash_relay.cc
+++ b/daemon/crash_relay.cc
@@ -34,13 +34,13 @@
 CrashRelay::relayOutput(Time Now, const wire::TraitOutput &Message) {
   if (RelayedOutputs.size() >= MaxRelayedOutputs)
     RelayedOutputs.clear();
-  std::vector<forward::RequestTrait> Fresh;
-  for (const forward::RequestTrait &T : decodeOutput(Message)) {
-    const auto [It, IsNew] = RelayedOutputs.try_emplace(T.Hash, Now);
+  std::vector<forward::TraitOutput> Fresh;
+  for (const forward::TraitOutput &O : decodeOutput(Message)) {
+    const auto [It, IsNew] = RelayedOutputs.try_emplace(O.Trait.Hash, Now);
     if (!IsNew && Now - It->second < OutputInterval)
       continue;
     It->second = Now;
-    Fresh.push_back(T);
+    Fresh.push_back(O);
   }
   if (Fresh.empty())
     return std::nullopt;
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -256,8 +256,8 @@
     sendToRelays(encodeCrashReport(Report));
   }
 
-  void shareOutput(std::span<const forward::RequestTrait> Traits) override {
-    sendToRelays(encodeOutput(Traits));
+  void shareOutput(std::span<const forward::TraitOutput> Outputs) override {
+    sendToRelays(encodeOutput(Outputs));
   }
 
   void shareVerdicts(std::span<const forward::TraitVerdict> Verdicts) override {
@@ -343,9 +343,8 @@
   bool onCrashMessage(SideConnection &From, wire::Envelope &Message) {
     const Time Now = now();
     if (Message.has_crash_report()) {
-      const std::vector<forward::RequestTrait> Cleared =
-          Forwarder.onCrashReport(Now,
-                                  decodeCrashReport(Message.crash_report()));
+      const std::vector<forward::TraitOutput> Cleared = Forwarder.onCrashReport(
+          Now, decodeCrashReport(Message.crash_report()));
       if (!Cleared.empty()) {
         wire::Envelope E = encodeOutput(Cleared);
         From.sendOrQueue(E);
--- a/forward/crash_attribution.cc
+++ b/forward/crash_attribution.cc
@@ -13,8 +13,9 @@
 namespace goldcrestlink::forward {
 
 namespace {
-// Crashes that are stored per suspect.
+// Crashes that are stored per suspect, and for all traits together.
 constexpr size_t MaxCrashes = 8;
+constexpr size_t MaxObserved = 64;
 // Reports that took longer to arrive are ignored.
 constexpr Duration MaxReportAge = std::chrono::seconds(10);
 // A quarantine is prolonged at most this often, so that its expiry, which is
@@ -37,27 +38,50 @@
 std::vector<RequestTrait>
 CrashAttribution::onOutput(Time Now, std::span<const RequestTrait> Traits) {
   std::vector<RequestTrait> Cleared;
-  for (const RequestTrait &T : Traits) {
-    if (Recent.size() >= Opts.maxOutputs() / 2) {
-      Older = std::move(Recent);
-      Recent.clear();
-    }
-    Recent[T.Hash] = Now;
-    bool WasSuspect = Suspects.erase(T.Hash) > 0;
-    if (const auto It = Verdicts.find(T.Hash);
-        It != Verdicts.end() && It->second.Quarantined) {
-      setVerdict(T.Hash,
-                 {It->second.Version + 1, false, Now + Opts.quarantineTime()});
-      WasSuspect = true;
-    }
-    if (WasSuspect)
+  for (const RequestTrait &T : Traits)
+    if (clear(Now, T.Hash, Now))
       Cleared.push_back(T);
-  }
   return Cleared;
 }
 
-bool CrashAttribution::addCrash(Time Now, const RequestTrait &Trait,
+void CrashAttribution::onOutputReport(Time Now,
+                                      std::span<const TraitOutput> Outputs) {
+  for (const TraitOutput &O : Outputs)
+    clear(Now, O.Trait.Hash, Now - std::max(Duration(0), O.Age));
+}
+
+bool CrashAttribution::clear(Time Now, uint64_t Trait, Time At) {
+  if (Recent.size() >= Opts.maxOutputs() / 2) {
+    Older = std::move(Recent);
+    Recent.clear();
+  }
+  Recent[Trait] = std::max(At, lastOutput(Trait));
+  bool WasSuspect = false;
+  if (const auto It = Suspects.find(Trait); It != Suspects.end()) {
+    WasSuspect = std::erase_if(It->second.Crashes,
+                               [&](const Crash &C) { return C.At <= At; }) > 0;
+    if (It->second.Crashes.empty())
+      Suspects.erase(It);
+  }
+  if (const auto It = Verdicts.find(Trait); It != Verdicts.end() &&
+                                            It->second.Quarantined &&
+                                            It->second.DecidedAt <= At) {
+    setVerdict(Trait, {It->second.Version + 1, false, Now,
+                       Now + Opts.quarantineTime()});
+    WasSuspect = true;
+  }
+  return WasSuspect;
+}
+
+bool CrashAttribution::hadOutputBefore(uint64_t Trait, Time At) const {
+  const Time Last = lastOutput(Trait);
+  return Last != Time::min() && Last >= At - Opts.recentOutput();
+}
+
+void CrashAttribution::addCrash(Time Now, const RequestTrait &Trait,
                                 const Crash &C) {
+  if (lastOutput(Trait.Hash) >= C.At)
+    return;
   if (!Suspects.contains(Trait.Hash) && Suspects.size() >= Opts.maxSuspects())
     makeRoomForSuspects();
   Suspect &S = Suspects[Trait.Hash];
@@ -66,10 +90,11 @@
   const bool Known =
       std::any_of(S.Crashes.begin(), S.Crashes.end(),
                   [&](const Crash &K) { return isSameCrash(K, C); });
-  if (Known || S.Crashes.size() >= MaxCrashes)
-    return false;
+  if (Known)
+    return;
+  if (S.Crashes.size() >= MaxCrashes)
+    S.Crashes.erase(S.Crashes.begin());
   S.Crashes.push_back(C);
-  return true;
 }
 
 CrashAttribution::Result CrashAttribution::onCrash(Time Now,
@@ -78,21 +103,26 @@
   if (Report.Age > MaxReportAge)
     return Out;
   const Crash C{Report.Upstream, Now - std::max(Duration(0), Report.Age)};
+  if (std::none_of(Observed.begin(), Observed.end(),
+                   [&](const Crash &O) { return isSameCrash(O, C); }))
+    Observed.push_back(C);
+  if (Observed.size() > MaxObserved)
+    Observed.pop_front();
   const bool Explained =
       std::any_of(Report.Traits.begin(), Report.Traits.end(),
                   [&](const RequestTrait &T) { return isQuarantined(T.Hash); });
   for (const RequestTrait &T : Report.Traits) {
-    const Time Last = lastOutput(T.Hash);
-    if (Last != Time::min() && Last >= C.At - Opts.recentOutput())
-      Out.Cleared.push_back(T);
-    else if (!Explained)
+    if (hadOutputBefore(T.Hash, C.At))
+      Out.Cleared.push_back(
+          {T, std::max(Duration(0), Now - lastOutput(T.Hash))});
+    if (!Explained)
       addCrash(Now, T, C);
   }
   while (const RequestTrait *Cause = mostSuspect(Report)) {
     Out.Quarantined.push_back(Cause->Hash);
     const auto It = Verdicts.find(Cause->Hash);
     setVerdict(Cause->Hash, {It == Verdicts.end() ? 1 : It->second.Version + 1,
-                             true, Now + Opts.quarantineTime()});
+                             true, Now, Now + Opts.quarantineTime()});
     const std::vector<Crash> Crashes =
         std::move(Suspects.at(Cause->Hash).Crashes);
     Suspects.erase(Cause->Hash);
@@ -101,9 +131,40 @@
   return Out;
 }
 
+bool CrashAttribution::crashedWithout(const Suspect &S, const Crash &C) const {
+  return std::any_of(Observed.begin(), Observed.end(), [&](const Crash &O) {
+    const Duration Apart = O.At > C.At ? O.At - C.At : C.At - O.At;
+    return Apart < Opts.sameEvent() &&
+           std::none_of(S.Crashes.begin(), S.Crashes.end(),
+                        [&](const Crash &K) { return isSameCrash(K, O); });
+  });
+}
+
+size_t CrashAttribution::countCrashes(const Suspect &S, bool Separate) const {
+  size_t Count = 0;
+  Time LastCounted = Time::min();
+  for (const Crash &C : S.Crashes) {
+    if (Count > 0 && C.At < LastCounted + Opts.sameEvent() &&
+        (Separate || crashedWithout(S, C)))
+      continue;
+    ++Count;
+    LastCounted = C.At;
+  }
+  return Count;
+}
+
 size_t CrashAttribution::crashCount(uint64_t Trait) const {
   const auto It = Suspects.find(Trait);
-  return It == Suspects.end() ? 0 : It->second.Crashes.size();
+  return It == Suspects.end() ? 0
+                              : countCrashes(It->second, It->second.Depth == 0);
+}
+
+bool CrashAttribution::isSuspectEnough(const RequestTrait &Trait) const {
+  if (crashCount(Trait.Hash) < Opts.crashesToQuarantine())
+    return false;
+  const Suspect &S = Suspects.at(Trait.Hash);
+  return !hadOutputBefore(Trait.Hash, S.Crashes.back().At) ||
+         countCrashes(S, true) >= Opts.crashesToQuarantineShared();
 }
 
 bool CrashAttribution::isLikelierCause(const RequestTrait &A,
@@ -117,14 +178,12 @@
 CrashAttribution::mostSuspect(const CrashReport &Report) const {
   const RequestTrait *Best = nullptr;
   for (const RequestTrait &T : Report.Traits) {
-    const size_t Count = crashCount(T.Hash);
-    if (Count < Opts.crashesToQuarantine() ||
-        (Best && !isLikelierCause(T, *Best)))
+    if (!isSuspectEnough(T) || (Best && !isLikelierCause(T, *Best)))
       continue;
     // With two deadly traits, the one that all their requests share is in more
     // crashes than either.
     const bool MayBeAnother =
-        Count < Opts.crashesToQuarantineShared() &&
+        crashCount(T.Hash) < Opts.crashesToQuarantineShared() &&
         std::any_of(Report.Traits.begin(), Report.Traits.end(),
                     [&](const RequestTrait &Other) {
                       return crashCount(Other.Hash) > 1 &&
@@ -193,8 +252,13 @@
                           It->second.Quarantined && !T.Quarantined);
     if (!IsNewer || T.Remaining <= Duration(0))
       continue;
+    if (T.Quarantined && hadOutputBefore(T.Trait, Now)) {
+      setVerdict(T.Trait,
+                 {T.Version + 1, false, Now, Now + Opts.quarantineTime()});
+      continue;
+    }
     const bool Was = isQuarantined(T.Trait);
-    setVerdict(T.Trait, {T.Version, T.Quarantined,
+    setVerdict(T.Trait, {T.Version, T.Quarantined, Now,
                          Now + std::min(T.Remaining, Opts.quarantineTime())});
     if (!T.Quarantined || Was)
       continue;
--- a/forward/crash_attribution.h
+++ b/forward/crash_attribution.h
@@ -13,6 +13,7 @@
 #define GOLDCRESTLINK_FORWARD_CRASH_ATTRIBUTION_H
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <span>
 #include <unordered_map>
@@ -33,6 +34,13 @@
   std::vector<RequestTrait> Traits;
 };
 
+/// The last output of requests with a trait.
+struct TraitOutput {
+  RequestTrait Trait;
+  /// Time since the output.
+  Duration Age{};
+};
+
 /// Whether a trait is quarantined.
 struct TraitVerdict {
   uint64_t Trait = 0;
@@ -57,6 +65,7 @@
     Duration suspicionTime() const { return SuspicionTime; }
     Duration recentOutput() const { return RecentOutput; }
     Duration sameCrash() const { return SameCrash; }
+    Duration sameEvent() const { return SameEvent; }
     size_t maxSuspects() const { return MaxSuspects; }
     size_t maxVerdicts() const { return MaxVerdicts; }
     size_t maxOutputs() const { return MaxOutputs; }
@@ -77,18 +86,24 @@
     // A request that was lost in two crashes by coincidence is not unusual when
     // a rack fails.
     size_t CrashesToQuarantine = 3;
-    // For a trait while a likelier cause has been in two crashes. The platform
-    // counts requests after the fifth crash.
+    // For a trait with recent output, or while a likelier cause has been in two
+    // crashes. The platform counts requests after the fifth crash.
     size_t CrashesToQuarantineShared = 5;
     // Since the last request with the trait.
     Duration QuarantineTime = std::chrono::minutes(10);
     // Since the last crash of the trait.
     Duration SuspicionTime = std::chrono::minutes(10);
-    // A trait that produced output this long before a crash is not suspect.
+    // A trait that produced output this long before its last crash is spared
+    // until it has been in as many crashes as a shared one.
     Duration RecentOutput = std::chrono::seconds(1);
     // Reports on one upstream with less time between their crashes are about
     // the same crash; an upstream takes longer to restart.
     Duration SameCrash = std::chrono::milliseconds(1500);
+    // Upstreams that crash within this time may have failed together, such as
+    // with their rack. Their crashes count as one if an upstream was among them
+    // that crashed without the trait, and always for a first part, which all
+    // requests of a route may share.
+    Duration SameEvent = std::chrono::milliseconds(50);
     size_t MaxSuspects = 4096;
     size_t MaxVerdicts = 1024;
     // Traits whose last output is remembered; at least half of these are.
@@ -99,8 +114,8 @@
   struct Result {
     /// Traits that are quarantined from now on.
     std::vector<uint64_t> Quarantined;
-    /// Traits of the report that have recently produced output here.
-    std::vector<RequestTrait> Cleared;
+    /// Traits of the report that have recently produced output.
+    std::vector<TraitOutput> Cleared;
   };
 
   explicit CrashAttribution(Options O) : Opts(O) {}
@@ -111,12 +126,15 @@
   /// were suspect or quarantined until now.
   std::vector<RequestTrait> onOutput(Time Now,
                                      std::span<const RequestTrait> Traits);
+  /// Another process knows of these outputs. They clear what is older.
+  void onOutputReport(Time Now, std::span<const TraitOutput> Outputs);
   Result onCrash(Time Now, const CrashReport &Report);
   /// Returns whether one of \p Traits is quarantined, and prolongs the
   /// quarantine if so.
   bool checkQuarantine(Time Now, std::span<const RequestTrait> Traits);
-  /// Adopts the newer ones of another process's verdicts. Returns the traits
-  /// that are quarantined from now on.
+  /// Adopts the newer ones of another process's verdicts, but lifts the
+  /// quarantine of a trait that has recently had output here. Returns the
+  /// traits that are quarantined from now on.
   std::vector<uint64_t> merge(Time Now, std::span<const TraitVerdict> Theirs);
   /// Removes expired state. To be called at least every few seconds.
   void expire(Time Now);
@@ -146,15 +164,28 @@
   struct StoredVerdict {
     uint32_t Version = 0;
     bool Quarantined = false;
+    Time DecidedAt;
     Time ExpiresAt;
   };
   using Outputs = std::unordered_map<uint64_t, Time>;
 
+  /// Requests with the trait had output at \p At. Returns whether that cleared
+  /// a suspicion or quarantine.
+  bool clear(Time Now, uint64_t Trait, Time At);
   bool isSameCrash(const Crash &A, const Crash &B) const;
-  bool addCrash(Time Now, const RequestTrait &Trait, const Crash &C);
+  /// Whether the trait had output shortly before the time \p At.
+  bool hadOutputBefore(uint64_t Trait, Time At) const;
+  /// Whether the trait has been in enough crashes, apart from other suspects.
+  bool isSuspectEnough(const RequestTrait &Trait) const;
+  void addCrash(Time Now, const RequestTrait &Trait, const Crash &C);
   /// The time of the last output of the trait; Time::min() if not remembered.
   Time lastOutput(uint64_t Trait) const;
+  /// Crashes of the trait, with those that may have one other cause as one.
   size_t crashCount(uint64_t Trait) const;
+  /// \p Separate: crashes at about the same time always count as one.
+  size_t countCrashes(const Suspect &S, bool Separate) const;
+  /// Whether an upstream crashed without the trait at about the time of \p C.
+  bool crashedWithout(const Suspect &S, const Crash &C) const;
   bool isLikelierCause(const RequestTrait &A, const RequestTrait &B) const;
   /// The likeliest cause of the crashes among the traits of \p Report, if one
   /// has been in enough of them; null otherwise.
@@ -167,6 +198,8 @@
 
   Options Opts;
   std::unordered_map<uint64_t, Suspect> Suspects;
+  // The latest crashes, whatever their traits.
+  std::deque<Crash> Observed;
   std::map<uint64_t, StoredVerdict> Verdicts;
   // Times of the last output. When Recent is full it replaces Older.
   Outputs Recent;
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -115,9 +115,8 @@
   virtual void probe(const UpstreamRecord &Upstream) = 0;
   /// Passes a crash that this entry has observed to the other entries.
   virtual void shareCrash(const CrashReport &Report) = 0;
-  /// Informs the other entries that requests with these traits have recently
-  /// produced output.
-  virtual void shareOutput(std::span<const RequestTrait> Traits) = 0;
+  /// Informs the other entries of recent output.
+  virtual void shareOutput(std::span<const TraitOutput> Outputs) = 0;
   /// Passes all verdicts to the other processes.
   virtual void shareVerdicts(std::span<const TraitVerdict> Verdicts) = 0;
   virtual void log(LogClass Class, std::string Line) = 0;
@@ -210,9 +209,9 @@
   void onProbe(Time Now, const std::string &UpstreamId, bool Refused);
   /// Another entry has observed a crash. Returns those of its traits that have
   /// recently produced output here, to be passed to the other entries.
-  std::vector<RequestTrait> onCrashReport(Time Now, const CrashReport &Report);
+  std::vector<TraitOutput> onCrashReport(Time Now, const CrashReport &Report);
   /// Requests with these traits have produced output at another entry.
-  void onOutputReport(Time Now, std::span<const RequestTrait> Traits);
+  void onOutputReport(Time Now, std::span<const TraitOutput> Outputs);
   /// Another process has these verdicts.
   void onVerdicts(Time Now, std::span<const TraitVerdict> Verdicts);
   /// To be called every few milliseconds.
--- a/forward/forwarder_crashes.cc
+++ b/forward/forwarder_crashes.cc
@@ -13,6 +13,9 @@
 
 namespace {
 
+// A trait whose requests had output this recently is in use by many requests.
+constexpr Duration BusyOutputInterval = std::chrono::milliseconds(200);
+
 std::string traitList(std::span<const RequestTrait> Traits) {
   std::string Out;
   for (const RequestTrait &T : Traits) {
@@ -43,7 +46,10 @@
     return;
   Port.log(LogClass::Routine, "cleared id=" + Call.Request.RequestId +
                                   " traits=" + traitList(Cleared));
-  Port.shareOutput(Cleared);
+  std::vector<TraitOutput> Outputs;
+  for (const RequestTrait &T : Cleared)
+    Outputs.push_back({T, Duration(0)});
+  Port.shareOutput(Outputs);
 }
 
 void Forwarder::onProbe(Time Now, const std::string &UpstreamId, bool Refused) {
@@ -52,10 +58,12 @@
   if (!Report)
     return;
   const CrashAttribution::Result Result = Crashes.onCrash(Now, *Report);
-  // Traits that the other entries would clear at once are not reported.
+  // The other entries have recent output of such traits as well.
   std::erase_if(Report->Traits, [&](const RequestTrait &T) {
-    return std::find(Result.Cleared.begin(), Result.Cleared.end(), T) !=
-           Result.Cleared.end();
+    return std::any_of(Result.Cleared.begin(), Result.Cleared.end(),
+                       [&](const TraitOutput &O) {
+                         return O.Trait == T && O.Age < BusyOutputInterval;
+                       });
   });
   Port.log(LogClass::Kept,
            "upstream_crashed upstream=" + UpstreamId +
@@ -66,8 +74,8 @@
   onNewVerdicts(Now, Result.Quarantined);
 }
 
-std::vector<RequestTrait> Forwarder::onCrashReport(Time Now,
-                                                   const CrashReport &Report) {
+std::vector<TraitOutput> Forwarder::onCrashReport(Time Now,
+                                                  const CrashReport &Report) {
   CrashAttribution::Result Result = Crashes.onCrash(Now, Report);
   onNewVerdicts(Now, Result.Quarantined);
   return std::move(Result.Cleared);
@@ -80,8 +88,8 @@
   onQuarantined(Now, Traits);
 }
 
-void Forwarder::onOutputReport(Time Now, std::span<const RequestTrait> Traits) {
-  Crashes.onOutput(Now, Traits);
+void Forwarder::onOutputReport(Time Now, std::span<const TraitOutput> Outputs) {
+  Crashes.onOutputReport(Now, Outputs);
 }
 
 void Forwarder::onVerdicts(Time Now, std::span<const TraitVerdict> Verdicts) {
