Log the content hash of requests and which of them a quarantine rejects

A quarantine verdict names a trait. For requests of plain services nothing in the logs told which requests have it, so a verdict on the wrong request could not be told from one on the right one. send and send_failed now contain the content hash, new rejections are logged with their traits, and entries export the numbers of verdicts and suspect traits.

--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -536,7 +536,13 @@
 size_t EntryTraffic::callsInProgress() const { return Impl->CallCount; }
 
 void EntryTraffic::metrics(std::function<void(std::string)> Done) {
-  boost::asio::post(Impl->Io, [this, Done] { Done(Impl->Metrics.text()); });
+  boost::asio::post(Impl->Io, [this, Done] {
+    const forward::CrashAttribution &Crashes = Impl->Forwarder.crashes();
+    Done(Impl->Metrics.text() + "goldcrestlink_verdicts " +
+         std::to_string(Crashes.verdictCount()) +
+         "\ngoldcrestlink_suspect_traits " +
+         std::to_string(Crashes.suspects()) + "\n");
+  });
 }
 
 } // namespace goldcrestlink
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -163,8 +163,7 @@
                          EndReason::TooMany);
   std::vector<RequestTrait> Traits = traitsOf(Request);
   if (Crashes.checkQuarantine(Now, Traits))
-    return rejectNewCall(Id, Request, 503, Crashes.quarantineTime(),
-                         EndReason::Quarantined);
+    return rejectQuarantined(Id, Request, Traits);
   ActiveCall Call;
   Call.Id = Id;
   Call.RouteName = Route->Name;
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -353,6 +353,9 @@
   void onNewVerdicts(Time Now, std::span<const uint64_t> Traits);
   /// Ends the calls that have one of \p Traits and no output yet.
   void onQuarantined(Time Now, std::span<const uint64_t> Traits);
+  /// Rejects a new call that has a quarantined trait.
+  void rejectQuarantined(uint64_t Id, const IncomingCall &Request,
+                         std::span<const RequestTrait> Traits);
 
   // Ends. These erase the call, so the reference is invalid afterwards.
   void forwardAnswer(Time Now, ActiveCall &Call, const AnswerHead &Head,
@@ -363,9 +366,9 @@
   void schedule(Time When, uint64_t Id);
   void onDue(Time Now, ActiveCall &Call);
   std::string describe(const ActiveCall &Call) const;
-  /// The shared prompt parts of \p Call as " parts=ID,ID"; empty if it has
-  /// none.
-  std::string describeParts(const ActiveCall &Call) const;
+  /// What crashes of \p Call are attributed to: its content as the hash that
+  /// identifies repeats, and its shared prompt parts.
+  std::string describeContent(const ActiveCall &Call) const;
 
   Options Opts;
   ForwardPort &Port;
--- a/forward/forwarder_crashes.cc
+++ b/forward/forwarder_crashes.cc
@@ -88,6 +88,14 @@
   onQuarantined(Now, Traits);
 }
 
+void Forwarder::rejectQuarantined(uint64_t Id, const IncomingCall &Request,
+                                  std::span<const RequestTrait> Traits) {
+  Port.log(LogClass::Kept, "quarantined id=" + Request.RequestId +
+                               " traits=" + traitList(Traits));
+  rejectNewCall(Id, Request, 503, Crashes.quarantineTime(),
+                EndReason::Quarantined);
+}
+
 void Forwarder::onOutputReport(Time Now, std::span<const TraitOutput> Outputs) {
   Crashes.onOutputReport(Now, Outputs);
 }
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -72,7 +72,7 @@
                (SendOpts.AfterEvent.empty()
                     ? ""
                     : " after_event=" + SendOpts.AfterEvent) +
-               describeParts(Call));
+               describeContent(Call));
   Port.send({Call.Id, Call.Sends}, Call.Request, SendOpts);
 }
 
@@ -245,7 +245,7 @@
                " send=" + std::to_string(Call->Sends) +
                " sent=" + (Error == SendError::NotSent ? "no" : "maybe") +
                " output=" + (Call->HasOutput ? "yes" : "no") + " why=\"" +
-               std::string(Why) + "\"" + describeParts(*Call));
+               std::string(Why) + "\"" + describeContent(*Call));
   finishSend(Now, *Call, true);
   if (Error == SendError::NotSent) {
     if (Call->IsEngine)
@@ -360,9 +360,12 @@
   return Out;
 }
 
-std::string Forwarder::describeParts(const ActiveCall &Call) const {
+std::string Forwarder::describeContent(const ActiveCall &Call) const {
   const std::vector<uint64_t> &Parts = Call.Request.Inference.SharedParts;
-  std::string Out;
+  char Content[32];
+  std::snprintf(Content, sizeof(Content), " content=%016llx",
+                static_cast<unsigned long long>(Call.Traits.back().Hash));
+  std::string Out = Content;
   for (size_t I = 0; I < std::min(Parts.size(), MaxLoggedParts); ++I) {
     char Text[32];
     std::snprintf(Text, sizeof(Text), "%s%08llx", I == 0 ? " parts=" : ",",
