--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -3,6 +3,8 @@
 // served.
 #include <doctest/doctest.h>
 
+#include <future>
+
 #include "testing/platform_deployment.h"
 
 using namespace goldcrestlink;
@@ -15,6 +17,13 @@
 // The platform's bound for a repeated request: three more after the third.
 constexpr int MaxCrashesOfOneRequest = 6;
 
+// A sound request is not held up for longer than a restart of its upstream.
+constexpr double MaxSoundWaitSeconds = 10;
+
+const char *adapterFor(std::string_view Target) {
+  return Target.starts_with("/stream/") ? "a1" : "";
+}
+
 // A prompt whose last part is its own.
 std::string promptWith(const std::string &Part, int Own) {
   return "a0:100," + Part + ":50,f" + std::to_string(Own) + ":20";
@@ -61,23 +70,99 @@
 }
 
 TEST_CASE("a repeated request does not crash upstream after upstream") {
-  for (const char *Target : {"/once/x", "/read/x"}) {
+  for (const char *Target : {"/once/x", "/read/x", "/stream/x"}) {
     CAPTURE(Target);
-    PlatformDeployment System(1, 3);
+    PlatformDeployment System(3, 3);
     for (const size_t Entry : {0, 1})
-      REQUIRE(System.eventuallyServed(Entry, Target));
+      REQUIRE(System.eventuallyServed(Entry, Target, adapterFor(Target)));
     System.Platform.setDeadly("", "dead");
     for (int I = 0; I < 12; ++I) {
       // Without an upstream, a request cannot crash one.
       CHECK(eventually(
           [&] {
-            return System.call(0, Target, "", "sound").Head.Status == 200;
+            return System.call(0, Target, adapterFor(Target), "sound")
+                       .Head.Status == 200;
           },
           MaxWaitSeconds));
-      System.call(static_cast<size_t>(I % 2), Target, "", "dead");
+      System.call(static_cast<size_t>(I % 2), Target, adapterFor(Target),
+                  "dead");
     }
     CHECK(System.Platform.crashesByRequests() <= MaxCrashesOfOneRequest);
     for (const size_t Entry : {0, 1})
-      CHECK(System.eventuallyServed(Entry, Target));
+      CHECK(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+  }
+}
+
+TEST_CASE("several repeated requests do not crash upstream after upstream") {
+  constexpr int DeadlyRequests = 3;
+  for (const char *Target : {"/once/x", "/read/x", "/stream/x"}) {
+    CAPTURE(Target);
+    PlatformDeployment System(3, 3);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+    System.Platform.setDeadly("", "dead");
+    for (int I = 0; I < 12; ++I) {
+      CHECK(eventually(
+          [&] {
+            return System.call(0, Target, adapterFor(Target), "sound")
+                       .Head.Status == 200;
+          },
+          MaxWaitSeconds));
+      std::vector<std::future<void>> Callers;
+      for (int D = 0; D < DeadlyRequests; ++D)
+        Callers.push_back(std::async(std::launch::async, [&, D] {
+          System.call(static_cast<size_t>((I + D) % 2), Target,
+                      adapterFor(Target), "dead" + std::to_string(D));
+        }));
+    }
+    CHECK(System.Platform.crashesByRequests() <=
+          MaxCrashesOfOneRequest * DeadlyRequests);
+    for (const size_t Entry : {0, 1})
+      CHECK(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+  }
+}
+
+TEST_CASE("requests that were lost beside a deadly one are not quarantined") {
+  constexpr int SoundRequests = 5;
+  for (const char *Target : {"/once/x", "/read/x"}) {
+    CAPTURE(Target);
+    PlatformDeployment System(1, 1);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+    System.Platform.setDeadly("", "dead");
+    const auto Served = [&](size_t Entry, const std::string &Body) {
+      return eventually(
+          [&] {
+            return System.call(Entry, Target, "", Body).Head.Status == 200;
+          },
+          MaxSoundWaitSeconds);
+    };
+    const auto SoundBody = [](int I) { return "slow" + std::to_string(I); };
+    for (int Round = 0; Round < 3; ++Round) {
+      for (const size_t Entry : {0, 1})
+        CHECK(Served(Entry, "probe"));
+      const size_t RanBefore = System.Platform.tally("p").Ran.size();
+      std::vector<std::future<http::Response>> Callers;
+      for (int I = 0; I < SoundRequests; ++I)
+        Callers.push_back(std::async(std::launch::async, [&, I] {
+          return System.call(static_cast<size_t>(I % 2), Target, "",
+                             SoundBody(I));
+        }));
+      CHECK(eventually(
+          [&] {
+            return System.Platform.tally("p").Ran.size() >=
+                   RanBefore + SoundRequests;
+          },
+          MaxWaitSeconds));
+      System.call(static_cast<size_t>(Round % 2), Target, "", "dead");
+    }
+    for (const size_t Entry : {0, 1})
+      for (int I = 0; I < SoundRequests; ++I)
+        CHECK(Served(Entry, SoundBody(I)));
+    for (int I = 0; I < 8; ++I) {
+      CHECK(Served(0, "probe"));
+      System.call(static_cast<size_t>(I % 2), Target, "", "dead");
+    }
+    CHECK(System.Platform.crashesByRequests() <= MaxCrashesOfOneRequest);
   }
 }
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -70,7 +70,8 @@
   /// second; empty: none.
   void setLimit(const std::string &Name, const std::string &PerSecond);
   /// From now on upstreams crash on requests with this part in their prompts,
-  /// or with this body, and start again later. Empty: none.
+  /// or with a body that begins with \p Body, and start again later. Empty:
+  /// none.
   void setDeadly(const std::string &Part, const std::string &Body);
   /// Crashes of all upstreams that requests have caused.
   int crashesByRequests() const;
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -94,7 +94,7 @@
 }
 
 bool UpstreamStandIn::isDeadly(const http::Request &Request) const {
-  if (!Shared.DeadlyBody.empty() && Request.Body == Shared.DeadlyBody)
+  if (!Shared.DeadlyBody.empty() && Request.Body.starts_with(Shared.DeadlyBody))
     return true;
   const std::string_view Prompt = Request.header("Prompt-Prefix");
   return !Shared.DeadlyPart.empty() &&
@@ -140,7 +140,7 @@
   reportRun(Request, "", 0);
   if (isDeadly(Request))
     crashOn(Id);
-  runLater(Io, EventInterval,
+  runLater(Io, Request.Body.starts_with(SlowBody) ? SlowRun : EventInterval,
            [=, this, StartedIn = Incarnation, Body = Request.Body] {
              if (Incarnation != StartedIn)
                return;
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -88,7 +88,8 @@
   };
   std::map<std::string, Release> Releases;
   /// An upstream crashes when it begins to answer a request with this part in
-  /// its prompt, not counting the last part, or with this body. Empty: none.
+  /// its prompt, not counting the last part, or with a body that begins with
+  /// this. Empty: none.
   std::string DeadlyPart;
   std::string DeadlyBody;
   UpstreamObserver *Observer = nullptr;
@@ -99,6 +100,9 @@
 public:
   /// Number of adapters that an engine can hold, including those it is loading.
   static constexpr size_t AdapterSlots = 2;
+  /// A plain service takes SlowRun for a request whose body begins so.
+  static constexpr std::string_view SlowBody = "slow";
+  static constexpr auto SlowRun = std::chrono::milliseconds(200);
 
   struct Spec {
     std::string Id;
