Put off a verdict between requests that are equally suspect of crashes

Callers saw: a sound request that runs beside a deadly one at a service with few upstreams is rejected as quarantined for ten minutes, while the deadly one goes on to crash upstreams.

Cause: requests of plain services have no output before their end, so both are lost in the same crashes, and both are repeated. After three, attribution took the first trait of the report among equals, and the crashes that it explained so no longer counted against the deadly one. Class of fault: a choice between equal evidence that is made by order and never revised.

Fix: a trait with an equally likely one in as many, mostly the same, crashes is not quarantined before it is in five. Until then each entry sends such requests one at a time and once, so that the next output or crash decides between them.

--- a/daemon/testing/crash_exchange_test.cc
+++ b/daemon/testing/crash_exchange_test.cc
@@ -21,8 +21,15 @@
 constexpr int64_t RunMs = 30000;
 constexpr int64_t ContactMs = 3000;
 constexpr int64_t UpstreamDownMs = 3000;
-constexpr size_t Upstreams = 18;
 constexpr size_t Relays = 6;
+// Hashes of whole requests; those below the second are deadly.
+constexpr uint64_t FirstDeadlyRequest = 500;
+constexpr uint64_t FirstSoundRequest = 1000;
+// Times that a caller repeats a request that was lost.
+constexpr int MaxRepeats = 3;
+// Times that a caller comes back after a refusal, and how soon.
+constexpr int MaxRefusals = 10;
+constexpr int64_t RetryAfterMs = 300;
 
 Time at(int64_t Ms) { return Time(std::chrono::milliseconds(100000 + Ms)); }
 
@@ -41,13 +48,19 @@
   size_t OtherCrashes;
   /// Until then the deadly parts are sound, and in use.
   int64_t DeadlyFromMs = 0;
+  size_t Upstreams = 18;
+  /// Requests without a prompt that crash upstreams, instead of deadly parts.
+  /// They come again and again. Callers repeat requests that are lost.
+  int DeadlyRequests = 0;
+  /// Of an upstream; other requests wait or are refused.
+  size_t Slots = 1000;
 };
 
 class Simulation {
 public:
   Simulation(const Scenario &InScenario, uint64_t Seed)
       : S(InScenario), Rand(Seed), EntryList(S.Entries), Side(Relays),
-        DownUntil(Upstreams, 0) {
+        DownUntil(S.Upstreams, 0) {
     for (size_t I = 0; I < S.Entries; ++I)
       restartEntry(I, -ContactMs);
     for (auto &R : Side)
@@ -74,7 +87,7 @@
         Side[Rand.below(Relays)] = std::make_unique<CrashRelay>();
       if (Now % 10000 == 5000)
         for (size_t I = 0; I < S.OtherCrashes; ++I)
-          crash(Rand.below(Upstreams));
+          crash(Rand.below(S.Upstreams));
     }
   }
 
@@ -85,6 +98,11 @@
   // Sound requests later than twice that time.
   int LateSound = 0;
   int LateSoundRejected = 0;
+  // For each repeated deadly request, what entries in touch have sent later
+  // than ContactMs after its third crash.
+  std::map<uint64_t, int> LateRepeats;
+  int Sound = 0;
+  int SoundRejected = 0;
 
 private:
   struct Request {
@@ -92,6 +110,12 @@
     uint64_t EntryStart;
     std::vector<RequestTrait> Traits;
     bool Deadly;
+    int Repeats = 0;
+    int Refusals = 0;
+  };
+  struct Repeated {
+    int Crashes = 0;
+    int64_t ThirdCrashAt = -1;
   };
   struct Entry {
     std::unique_ptr<CrashAttribution> Crashes;
@@ -116,38 +140,83 @@
 
   void newRequest() {
     Request R;
-    R.Entry = Rand.below(S.Entries);
-    Entry &E = EntryList[R.Entry];
-    R.EntryStart = E.Start;
     R.Deadly = Rand.below(1000) < static_cast<uint64_t>(S.DeadlyPerMille);
+    if (S.DeadlyRequests > 0) {
+      const uint64_t Own =
+          R.Deadly ? FirstDeadlyRequest +
+                         Rand.below(static_cast<uint64_t>(S.DeadlyRequests))
+                   : FirstSoundRequest + ++LastOwn;
+      R.Traits = {{Own, RequestTrait::WholeRequest}};
+      return place(std::move(R));
+    }
     // The first part is common; deadly requests share the middle parts of
     // sound ones as well.
     R.Traits = {{1, 0}, {100 + Rand.below(200), 1}};
     if (R.Deadly)
       R.Traits.push_back(
           {10 + Rand.below(static_cast<uint64_t>(S.DeadlyParts)), 2});
-    R.Traits.push_back({1000 + ++LastOwn, RequestTrait::WholeRequest});
+    R.Traits.push_back(
+        {FirstSoundRequest + ++LastOwn, RequestTrait::WholeRequest});
+    place(std::move(R));
+  }
+
+  void place(Request R) {
+    R.Entry = Rand.below(S.Entries);
+    Entry &E = EntryList[R.Entry];
+    R.EntryStart = E.Start;
+    CrashAttribution::Result Settled;
+    Settled.Quarantined = E.Crashes->settle(at(Now), R.Traits);
+    onNewVerdicts(R.Entry, Settled);
     const bool Rejected = E.Crashes->checkQuarantine(at(Now), R.Traits);
+    Sound += !R.Deadly;
+    SoundRejected += !R.Deadly && Rejected;
     if (Now > std::max<int64_t>(0, FifthCrashAt) + 2 * ContactMs && !R.Deadly) {
       ++LateSound;
       LateSoundRejected += Rejected;
     }
     if (Rejected)
       return;
-    size_t U = Rand.below(Upstreams);
-    for (size_t I = 0; I < Upstreams && DownUntil[U] > Now; ++I)
-      U = (U + 1) % Upstreams;
-    if (DownUntil[U] > Now)
+    const bool Contested = E.Crashes->isContested(at(Now), R.Traits);
+    if (Contested && isIsolating(R.Entry))
+      return;
+    size_t U = Rand.below(S.Upstreams);
+    for (size_t I = 0; I < S.Upstreams && !takes(U); ++I)
+      U = (U + 1) % S.Upstreams;
+    if (!takes(U)) {
+      if (S.DeadlyRequests > 0 && ++R.Refusals <= MaxRefusals)
+        later(RetryAfterMs, [this, Again = std::move(R)]() mutable {
+          place(std::move(Again));
+        });
       return;
-    if (R.Deadly && FifthCrashAt >= 0 && Now > FifthCrashAt + ContactMs &&
-        Now - E.StartedAt > ContactMs)
-      ++LateDeadly;
+    }
+    if (R.Deadly && Now - E.StartedAt > ContactMs) {
+      if (FifthCrashAt >= 0 && Now > FifthCrashAt + ContactMs)
+        ++LateDeadly;
+      if (const Repeated &D = DeadlyRequests[R.Traits.back().Hash];
+          D.ThirdCrashAt >= 0 && Now > D.ThirdCrashAt + ContactMs)
+        ++LateRepeats[R.Traits.back().Hash];
+    }
     const uint64_t Id = ++LastId;
     Running[U][Id] = std::move(R);
     later(60 + static_cast<int64_t>(Rand.below(150)),
           [this, U, Id] { begin(U, Id); });
   }
 
+  bool takes(size_t U) {
+    return DownUntil[U] <= Now && Running[U].size() < S.Slots;
+  }
+
+  // Whether an equally suspect request of the entry is in progress.
+  bool isIsolating(size_t I) {
+    const Entry &E = EntryList[I];
+    for (const auto &[U, Requests] : Running)
+      for (const auto &[Id, R] : Requests)
+        if (R.Entry == I && R.EntryStart == E.Start &&
+            E.Crashes->isContested(at(Now), R.Traits))
+          return true;
+    return false;
+  }
+
   // The upstream begins to write the answer of a request.
   void begin(size_t U, uint64_t Id) {
     const auto It = Running[U].find(Id);
@@ -156,6 +225,9 @@
     if (It->second.Deadly && Now >= S.DeadlyFromMs) {
       if (++DeadlyCrashes == 5)
         FifthCrashAt = Now;
+      if (Repeated &D = DeadlyRequests[It->second.Traits.back().Hash];
+          ++D.Crashes == 3)
+        D.ThirdCrashAt = Now;
       return crash(U);
     }
     const Request R = std::move(It->second);
@@ -174,6 +246,12 @@
     DownUntil[U] = Now + UpstreamDownMs;
     for (const auto &[Id, R] : std::map<uint64_t, Request>(Running[U])) {
       Entry &E = EntryList[R.Entry];
+      if (S.DeadlyRequests > 0 && R.Repeats < MaxRepeats)
+        later(2 + static_cast<int64_t>(Rand.below(50)),
+              [this, Again = R]() mutable {
+                ++Again.Repeats;
+                place(std::move(Again));
+              });
       if (E.Start != R.EntryStart)
         continue;
       if (E.Detector.onBroken(at(Now), std::to_string(U), R.Traits))
@@ -267,6 +345,7 @@
   std::vector<std::unique_ptr<CrashRelay>> Side;
   std::vector<int64_t> DownUntil;
   std::map<size_t, std::map<uint64_t, Request>> Running;
+  std::map<uint64_t, Repeated> DeadlyRequests;
   int64_t FifthCrashAt = -1;
   uint64_t LastId = 0;
   uint64_t LastOwn = 0;
@@ -309,3 +388,34 @@
         CHECK(Run.DeadlyCrashes == 0);
     }
 }
+
+TEST_CASE("crashes by repeated requests are bounded over all entries, and "
+          "requests lost beside them are served") {
+  const auto Row = [](const char *Name, size_t Entries, int DeadlyRequests,
+                      int Loss, int64_t RestartMs, size_t Upstreams) {
+    Scenario S{Name, Entries, 80, 60, 1, Loss, RestartMs, 0};
+    S.Upstreams = Upstreams;
+    S.DeadlyRequests = DeadlyRequests;
+    S.Slots = 6;
+    return S;
+  };
+  const Scenario Scenarios[] = {
+      Row("one request, three upstreams", 4, 1, 0, 0, 3),
+      Row("one request, one upstream", 4, 1, 0, 0, 1),
+      Row("three requests, three upstreams", 4, 3, 0, 0, 3),
+      Row("three requests, many entries", 11, 3, 0, 0, 3),
+      Row("lost messages", 4, 2, 20, 0, 3),
+      Row("restarts", 4, 2, 0, 3000, 3),
+  };
+  for (const Scenario &S : Scenarios)
+    for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      CAPTURE(std::string(S.Name));
+      CAPTURE(Seed);
+      Simulation Run(S, Seed);
+      Run.run();
+      // The platform's bound.
+      for (const auto &[Hash, Late] : Run.LateRepeats)
+        CHECK(Late <= 3);
+      CHECK(Run.SoundRejected * 100 <= Run.Sound);
+    }
+}
--- a/forward/crash_attribution.cc
+++ b/forward/crash_attribution.cc
@@ -2,8 +2,11 @@
 // has been in enough crashes, the likeliest cause in the latest report is
 // quarantined: the trait that has been without output for longest, or else the
 // most specific one. Its crashes count no longer against the traits that merely
-// occurred together with it. A report costs O(its traits), and
-// O(suspects) when a trait is quarantined or the table is full.
+// occurred together with it. If two are as likely, such as two requests that
+// were lost together and repeated together, the verdict is put off until one
+// has been in more crashes, or had output, but not beyond the bound for shared
+// traits. A report costs O(its traits), and O(suspects) when a trait has been
+// in enough crashes or the table is full.
 #include "forward/crash_attribution.h"
 
 #include <algorithm>
@@ -16,6 +19,8 @@
 // Crashes that are stored per suspect, and for all traits together.
 constexpr size_t MaxCrashes = 8;
 constexpr size_t MaxObserved = 64;
+// Two traits that were together in so many crashes may both be the cause.
+constexpr size_t MinCommonCrashes = 2;
 // Reports that took longer to arrive are ignored.
 constexpr Duration MaxReportAge = std::chrono::seconds(10);
 // A quarantine is prolonged at most this often, so that its expiry, which is
@@ -118,15 +123,22 @@
     if (!Explained)
       addCrash(Now, T, C);
   }
-  while (const RequestTrait *Cause = mostSuspect(Report)) {
-    Out.Quarantined.push_back(Cause->Hash);
+  Out.Quarantined = settle(Now, Report.Traits);
+  return Out;
+}
+
+std::vector<uint64_t>
+CrashAttribution::settle(Time Now, std::span<const RequestTrait> Traits) {
+  std::vector<uint64_t> Out;
+  while (const RequestTrait *Cause = mostSuspect(Now, Traits)) {
+    Out.push_back(Cause->Hash);
     const auto It = Verdicts.find(Cause->Hash);
     setVerdict(Cause->Hash, {It == Verdicts.end() ? 1 : It->second.Version + 1,
                              true, Now, Now + Opts.quarantineTime()});
     const std::vector<Crash> Crashes =
         std::move(Suspects.at(Cause->Hash).Crashes);
     Suspects.erase(Cause->Hash);
-    explain(Crashes);
+    explain(Crashes, *Cause);
   }
   return Out;
 }
@@ -174,33 +186,74 @@
   return LastA != LastB ? LastA < LastB : A.Depth > B.Depth;
 }
 
+bool CrashAttribution::areEquallyLikely(const RequestTrait &A,
+                                        const RequestTrait &B) const {
+  return !isLikelierCause(A, B) && !isLikelierCause(B, A);
+}
+
+size_t CrashAttribution::crashesInCommon(const Suspect &A,
+                                         const Suspect &B) const {
+  return static_cast<size_t>(
+      std::count_if(A.Crashes.begin(), A.Crashes.end(), [&](const Crash &C) {
+        return std::any_of(B.Crashes.begin(), B.Crashes.end(),
+                           [&](const Crash &K) { return isSameCrash(C, K); });
+      }));
+}
+
+bool CrashAttribution::hasRival(Time Now, const RequestTrait &Trait) const {
+  const size_t Count = crashCount(Trait.Hash);
+  if (Count >= Opts.crashesToQuarantineShared())
+    return false;
+  const Suspect &S = Suspects.at(Trait.Hash);
+  const bool MoreReportsDue = Now - S.Crashes.back().At < Opts.reportDelay();
+  return std::any_of(Suspects.begin(), Suspects.end(), [&](const auto &Item) {
+    const auto &[Hash, Other] = Item;
+    if (Hash == Trait.Hash || !areEquallyLikely(Trait, {Hash, Other.Depth}) ||
+        crashesInCommon(S, Other) < MinCommonCrashes)
+      return false;
+    return crashCount(Hash) + (MoreReportsDue ? 1 : 0) >= Count;
+  });
+}
+
+bool CrashAttribution::isContested(Time Now,
+                                   std::span<const RequestTrait> Traits) const {
+  return std::any_of(Traits.begin(), Traits.end(), [&](const RequestTrait &T) {
+    return isSuspectEnough(T) && hasRival(Now, T);
+  });
+}
+
 const RequestTrait *
-CrashAttribution::mostSuspect(const CrashReport &Report) const {
+CrashAttribution::mostSuspect(Time Now,
+                              std::span<const RequestTrait> Traits) const {
   const RequestTrait *Best = nullptr;
-  for (const RequestTrait &T : Report.Traits) {
+  for (const RequestTrait &T : Traits) {
     if (!isSuspectEnough(T) || (Best && !isLikelierCause(T, *Best)))
       continue;
     // With two deadly traits, the one that all their requests share is in more
     // crashes than either.
     const bool MayBeAnother =
         crashCount(T.Hash) < Opts.crashesToQuarantineShared() &&
-        std::any_of(Report.Traits.begin(), Report.Traits.end(),
-                    [&](const RequestTrait &Other) {
-                      return crashCount(Other.Hash) > 1 &&
-                             isLikelierCause(Other, T);
-                    });
-    if (!MayBeAnother)
+        std::any_of(
+            Traits.begin(), Traits.end(), [&](const RequestTrait &Other) {
+              return crashCount(Other.Hash) > 1 && isLikelierCause(Other, T);
+            });
+    if (!MayBeAnother && !hasRival(Now, T))
       Best = &T;
   }
   return Best;
 }
 
-void CrashAttribution::explain(const std::vector<Crash> &Crashes) {
-  for (auto &[Trait, S] : Suspects)
+void CrashAttribution::explain(const std::vector<Crash> &Crashes,
+                               const RequestTrait &Cause) {
+  for (auto &[Trait, S] : Suspects) {
+    if (areEquallyLikely(Cause, {Trait, S.Depth}) &&
+        crashCount(Trait) >= Opts.crashesToQuarantineShared())
+      continue;
     std::erase_if(S.Crashes, [&](const Crash &C) {
       return std::any_of(Crashes.begin(), Crashes.end(),
                          [&](const Crash &E) { return isSameCrash(C, E); });
     });
+  }
   std::erase_if(Suspects,
                 [](const auto &Item) { return Item.second.Crashes.empty(); });
 }
@@ -264,9 +317,10 @@
       continue;
     Out.push_back(T.Trait);
     if (const auto S = Suspects.find(T.Trait); S != Suspects.end()) {
+      const RequestTrait Cause{T.Trait, S->second.Depth};
       const std::vector<Crash> Crashes = std::move(S->second.Crashes);
       Suspects.erase(S);
-      explain(Crashes);
+      explain(Crashes, Cause);
     }
   }
   return Out;
--- a/forward/crash_attribution.h
+++ b/forward/crash_attribution.h
@@ -7,7 +7,8 @@
 //   CrashAttribution A((CrashAttribution::Options()));
 //   A.onOutput(Now, Traits);                 // a request has produced output
 //   auto Result = A.onCrash(Now, Report);    // Result.Quarantined
-//   if (A.quarantined(Now, Traits)) reject();
+//   Quarantined = A.settle(Now, Traits);     // a request arrives
+//   if (A.checkQuarantine(Now, Traits)) reject();
 //   A.merge(Now, Peer.verdicts(Now));        // exchange between processes
 #ifndef GOLDCRESTLINK_FORWARD_CRASH_ATTRIBUTION_H
 #define GOLDCRESTLINK_FORWARD_CRASH_ATTRIBUTION_H
@@ -66,6 +67,7 @@
     Duration recentOutput() const { return RecentOutput; }
     Duration sameCrash() const { return SameCrash; }
     Duration sameEvent() const { return SameEvent; }
+    Duration reportDelay() const { return ReportDelay; }
     size_t maxSuspects() const { return MaxSuspects; }
     size_t maxVerdicts() const { return MaxVerdicts; }
     size_t maxOutputs() const { return MaxOutputs; }
@@ -104,6 +106,9 @@
     // that crashed without the trait, and always for a first part, which all
     // requests of a route may share.
     Duration SameEvent = std::chrono::milliseconds(50);
+    // Until this long after a crash, other entries may still report requests
+    // that they lost in it. A report passes through one side.
+    Duration ReportDelay = std::chrono::milliseconds(100);
     size_t MaxSuspects = 4096;
     size_t MaxVerdicts = 1024;
     // Traits whose last output is remembered; at least half of these are.
@@ -129,6 +134,10 @@
   /// Another process knows of these outputs. They clear what is older.
   void onOutputReport(Time Now, std::span<const TraitOutput> Outputs);
   Result onCrash(Time Now, const CrashReport &Report);
+  /// Takes the verdicts on \p Traits that could not be taken when they crashed
+  /// upstreams last, because another trait was as suspect. Returns the traits
+  /// that are quarantined from now on.
+  std::vector<uint64_t> settle(Time Now, std::span<const RequestTrait> Traits);
   /// Returns whether one of \p Traits is quarantined, and prolongs the
   /// quarantine if so.
   bool checkQuarantine(Time Now, std::span<const RequestTrait> Traits);
@@ -142,6 +151,9 @@
   // Queries.
 
   bool isQuarantined(uint64_t Trait) const;
+  /// Whether one of \p Traits, or another one that was lost in the same
+  /// crashes, must be quarantined, and it is not known yet which.
+  bool isContested(Time Now, std::span<const RequestTrait> Traits) const;
   /// All verdicts, also those that lift a quarantine.
   std::vector<TraitVerdict> verdicts(Time Now) const;
   /// Equal in processes with the same verdicts; 0 if there are none.
@@ -187,11 +199,18 @@
   /// Whether an upstream crashed without the trait at about the time of \p C.
   bool crashedWithout(const Suspect &S, const Crash &C) const;
   bool isLikelierCause(const RequestTrait &A, const RequestTrait &B) const;
-  /// The likeliest cause of the crashes among the traits of \p Report, if one
-  /// has been in enough of them; null otherwise.
-  const RequestTrait *mostSuspect(const CrashReport &Report) const;
-  /// Removes \p Crashes, whose cause is known, from all suspects.
-  void explain(const std::vector<Crash> &Crashes);
+  bool areEquallyLikely(const RequestTrait &A, const RequestTrait &B) const;
+  size_t crashesInCommon(const Suspect &A, const Suspect &B) const;
+  /// Whether a trait that is as likely a cause has been in as many crashes as
+  /// \p Trait, most of them the same.
+  bool hasRival(Time Now, const RequestTrait &Trait) const;
+  /// The likeliest cause of crashes among \p Traits, if one has been in enough
+  /// of them; null otherwise.
+  const RequestTrait *mostSuspect(Time Now,
+                                  std::span<const RequestTrait> Traits) const;
+  /// Removes \p Crashes, which \p Cause has caused, from all suspects but
+  /// those that have to be quarantined as well.
+  void explain(const std::vector<Crash> &Crashes, const RequestTrait &Cause);
   void setVerdict(uint64_t Trait, const StoredVerdict &New);
   void makeRoomForSuspects();
   void updateDigest();
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -53,6 +53,8 @@
     return "bad_answer";
   case EndReason::Quarantined:
     return "quarantined";
+  case EndReason::Suspect:
+    return "suspect";
   case EndReason::TooMany:
     return "too_many";
   }
@@ -162,10 +164,12 @@
     return rejectNewCall(Id, Request, 503, RejectionRetryAfter,
                          EndReason::TooMany);
   std::vector<RequestTrait> Traits = traitsOf(Request);
-  if (Crashes.checkQuarantine(Now, Traits))
-    return rejectQuarantined(Id, Request, Traits);
+  if (!admitTraits(Now, Id, Request, Traits))
+    return;
   ActiveCall Call;
   Call.Id = Id;
+  Call.Isolated = Crashes.isContested(Now, Traits);
+  IsolatedCalls += Call.Isolated ? 1 : 0;
   Call.RouteName = Route->Name;
   Call.Service = pickService(*Route);
   Call.Repeat = Route->Repeat;
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -54,7 +54,9 @@
   /// The limit of calls in progress was reached.
   TooMany,
   /// The request has a trait that crashes upstreams.
-  Quarantined
+  Quarantined,
+  /// The request may crash its upstream, as may another one in progress.
+  Suspect
 };
 
 /// Name of \p Reason in logs, metrics and answers. Thread-safe.
@@ -281,6 +283,9 @@
     // The present send has produced an event of a stream, or a complete answer
     // of another kind.
     bool HasOutput = false;
+    // The request may be the cause of crashes; at most one such call is in
+    // progress.
+    bool Isolated = false;
     EventSplitter Events;
     std::string Buffered;
     // An upstream's own failure, forwarded if no retry succeeds.
@@ -353,9 +358,9 @@
   void onNewVerdicts(Time Now, std::span<const uint64_t> Traits);
   /// Ends the calls that have one of \p Traits and no output yet.
   void onQuarantined(Time Now, std::span<const uint64_t> Traits);
-  /// Rejects a new call that has a quarantined trait.
-  void rejectQuarantined(uint64_t Id, const IncomingCall &Request,
-                         std::span<const RequestTrait> Traits);
+  /// Whether a new call with \p Traits may be placed; rejects it otherwise.
+  bool admitTraits(Time Now, uint64_t Id, const IncomingCall &Request,
+                   std::span<const RequestTrait> Traits);
 
   // Ends. These erase the call, so the reference is invalid afterwards.
   void forwardAnswer(Time Now, ActiveCall &Call, const AnswerHead &Head,
@@ -386,6 +391,8 @@
   UpstreamLimits Limits;
   CrashDetector Detector;
   CrashAttribution Crashes;
+  // Calls in progress that are isolated, at most one.
+  size_t IsolatedCalls = 0;
   Time NextCrashExpiry{};
   std::map<std::string, RetryAllowance> Allowances;
   // Ids of queued calls, by plain service.
--- a/forward/forwarder_crashes.cc
+++ b/forward/forwarder_crashes.cc
@@ -2,7 +2,9 @@
 // reports crashes, exchanges reports and verdicts with other entries, and ends
 // the calls that a new verdict quarantines.
 //
-// A quarantined call is rejected when it arrives. A new verdict visits every
+// A quarantined call is rejected when it arrives. Calls of which one is the
+// cause of crashes, but not known which, are placed one at a time and sent
+// once, so that the next crash or output decides. A new verdict visits every
 // call once; all other work is constant per event and trait.
 #include "forward/forwarder.h"
 
@@ -15,6 +17,9 @@
 
 // A trait whose requests had output this recently is in use by many requests.
 constexpr Duration BusyOutputInterval = std::chrono::milliseconds(200);
+// Retry-After time while another request that may be the cause of the same
+// crashes is in progress.
+constexpr Duration IsolationRetryAfter = std::chrono::milliseconds(300);
 
 std::string traitList(std::span<const RequestTrait> Traits) {
   std::string Out;
@@ -88,12 +93,23 @@
   onQuarantined(Now, Traits);
 }
 
-void Forwarder::rejectQuarantined(uint64_t Id, const IncomingCall &Request,
-                                  std::span<const RequestTrait> Traits) {
-  Port.log(LogClass::Kept, "quarantined id=" + Request.RequestId +
-                               " traits=" + traitList(Traits));
-  rejectNewCall(Id, Request, 503, Crashes.quarantineTime(),
-                EndReason::Quarantined);
+bool Forwarder::admitTraits(Time Now, uint64_t Id, const IncomingCall &Request,
+                            std::span<const RequestTrait> Traits) {
+  onNewVerdicts(Now, Crashes.settle(Now, Traits));
+  if (Crashes.checkQuarantine(Now, Traits)) {
+    Port.log(LogClass::Kept, "quarantined id=" + Request.RequestId +
+                                 " traits=" + traitList(Traits));
+    rejectNewCall(Id, Request, 503, Crashes.quarantineTime(),
+                  EndReason::Quarantined);
+    return false;
+  }
+  if (IsolatedCalls > 0 && Crashes.isContested(Now, Traits)) {
+    Port.log(LogClass::Kept, "isolated id=" + Request.RequestId +
+                                 " traits=" + traitList(Traits));
+    rejectNewCall(Id, Request, 503, IsolationRetryAfter, EndReason::Suspect);
+    return false;
+  }
+  return true;
 }
 
 void Forwarder::onOutputReport(Time Now, std::span<const TraitOutput> Outputs) {
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -269,7 +269,8 @@
     return false;
   if (Call.Sends >= Call.MaxAttempts ||
       Call.Deadline - Now < Call.Objective / 10 ||
-      Crashes.checkQuarantine(Now, Call.Traits))
+      Crashes.checkQuarantine(Now, Call.Traits) ||
+      Crashes.isContested(Now, Call.Traits))
     return false;
   return Allowances.at(Call.Service).take(Now, Engines.entries());
 }
@@ -344,6 +345,7 @@
               Call.FirstByteAt == Time{} ? Duration(0)
                                          : Call.FirstByteAt - Call.Arrived,
               Now - Call.Arrived);
+  IsolatedCalls -= Call.Isolated ? 1 : 0;
   Calls.erase(Call.Id);
 }
 
--- a/forward/testing/crash_attribution_test.cc
+++ b/forward/testing/crash_attribution_test.cc
@@ -158,6 +158,41 @@
   }
 }
 
+TEST_CASE("a request that was lost beside a deadly one is not quarantined") {
+  constexpr uint64_t Deadly = 8;
+  const RequestTrait DeadlyTrait{Deadly, RequestTrait::WholeRequest};
+  const RequestTrait SoundTrait{9, RequestTrait::WholeRequest};
+  struct BesideRow {
+    const char *Name;
+    // The traits of each report on one crash, in order.
+    std::vector<std::vector<RequestTrait>> Reports;
+  };
+  const BesideRow Rows[] = {
+      {"one report, sound one first", {{SoundTrait, DeadlyTrait}}},
+      {"one report, deadly one first", {{DeadlyTrait, SoundTrait}}},
+      {"the entry of the sound one reports first",
+       {{SoundTrait}, {DeadlyTrait}}},
+      {"the entry of the deadly one reports first",
+       {{DeadlyTrait}, {SoundTrait}}},
+  };
+  for (const BesideRow &R : Rows) {
+    CAPTURE(std::string(R.Name));
+    CrashAttribution A((CrashAttribution::Options()));
+    for (uint64_t Crash = 1; Crash <= 3; ++Crash) {
+      const int64_t Ms = static_cast<int64_t>(Crash) * 3000;
+      for (size_t I = 0; I < R.Reports.size(); ++I)
+        A.onCrash(at(Ms + static_cast<int64_t>(I) * 5),
+                  {Crash, Duration(0), R.Reports[I]});
+    }
+    CHECK_FALSE(A.isQuarantined(SoundTrait.Hash));
+    A.onOutput(at(10000), std::vector<RequestTrait>{SoundTrait});
+    A.onCrash(at(12000),
+              {4, Duration(0), std::vector<RequestTrait>{DeadlyTrait}});
+    CHECK_FALSE(A.isQuarantined(SoundTrait.Hash));
+    CHECK(A.isQuarantined(Deadly));
+  }
+}
+
 TEST_CASE("a crash report and output at another entry agree on what is clear") {
   CrashAttribution Reporter((CrashAttribution::Options()));
   CrashAttribution Other((CrashAttribution::Options()));
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -151,8 +151,9 @@
     Machine.onCatalog(at(0), deployment());
   }
 
-  void call(const std::string &Target, int64_t TimeLeftMs = 10000,
-            std::vector<uint64_t> Parts = {}, uint64_t Id = 1) {
+  static IncomingCall incoming(const std::string &Target,
+                               int64_t TimeLeftMs = 10000,
+                               std::vector<uint64_t> Parts = {}) {
     IncomingCall C;
     C.RequestId = "r1";
     C.Method = "POST";
@@ -160,7 +161,12 @@
     C.Target = Target;
     C.TimeLeft = std::chrono::milliseconds(TimeLeftMs);
     C.Inference = {"m", "a1", 500, 50, std::move(Parts)};
-    Machine.onCall(at(1), Id, std::move(C));
+    return C;
+  }
+
+  void call(const std::string &Target, int64_t TimeLeftMs = 10000,
+            std::vector<uint64_t> Parts = {}, uint64_t Id = 1) {
+    Machine.onCall(at(1), Id, incoming(Target, TimeLeftMs, std::move(Parts)));
   }
 
   void replyAdmission(int64_t Ms, Verdict V = Verdict::Go) {
@@ -628,6 +634,46 @@
   CHECK(E.Port.Status == 502);
 }
 
+TEST_CASE("requests that are equally suspect are sent one at a time and once") {
+  Entry E;
+  std::vector<RequestTrait> Both = traitsOf(Entry::incoming("/read/sound"));
+  const std::vector<RequestTrait> Deadly =
+      traitsOf(Entry::incoming("/read/deadly"));
+  Both.insert(Both.end(), Deadly.begin(), Deadly.end());
+  for (uint64_t Upstream = 1; Upstream <= 3; ++Upstream)
+    E.Machine.onCrashReport(at(static_cast<int64_t>(Upstream) * 3000 - 9000),
+                            {Upstream, Duration(0), Both});
+  E.call("/read/sound", 10000, {}, 1);
+  REQUIRE(E.Port.Sends.size() == 1);
+  E.call("/read/deadly", 10000, {}, 2);
+  CHECK(E.Port.Sends.size() == 1);
+  CHECK(E.Port.Status == 503);
+  CHECK(E.Port.Reason == EndReason::Suspect);
+  CHECK(E.Port.RetryAfter > Duration(0));
+  E.call("/read/other", 10000, {}, 3);
+  CHECK(E.Port.Sends.size() == 2);
+
+  SUBCASE("output clears the sound one and settles the other") {
+    const SendId S = E.Port.Sends.front().Id;
+    E.Machine.onHead(at(5), S, Entry::head(200));
+    E.Machine.onData(at(5), S, "id: 1\n\n");
+    E.Machine.onDone(at(5), S);
+    CHECK(E.Port.Status == 200);
+    E.call("/read/deadly", 10000, {}, 4);
+    CHECK(E.Port.Reason == EndReason::Quarantined);
+    E.call("/read/sound", 10000, {}, 5);
+    CHECK(E.Port.Sends.size() == 3);
+  }
+  SUBCASE("a broken send is not repeated elsewhere") {
+    E.Machine.onError(at(5), E.Port.Sends.front().Id, SendError::Broken,
+                      "reset");
+    CHECK(E.Port.Sends.size() == 2);
+    CHECK(E.Port.Status == 502);
+    E.call("/read/deadly", 10000, {}, 4);
+    CHECK(E.Port.Sends.size() == 3);
+  }
+}
+
 TEST_CASE("invalid calls and calls without a configuration are rejected") {
   struct RejectionRow {
     const char *Target;
