Log the era of the store and updates ignored as outdated

An update that the catalog ignores left no trace, and nothing showed whether the store had come back from an older copy, so a dropped report of an upstream could not be told from one that was never sent.

--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -76,6 +76,11 @@
   return true;
 }
 
+uint64_t Catalog::revisionOf(const std::string &Id) const {
+  const auto It = Revisions.find(Id);
+  return It == Revisions.end() ? 0 : It->second.Seen;
+}
+
 void Catalog::trimRevisions() {
   if (Revisions.size() <= MaxRevisions)
     return;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -124,6 +124,8 @@
   const std::map<std::string, UpstreamRecord> &upstreams() const {
     return Upstreams;
   }
+  /// The revision of the last update of the upstream; 0 if there was none.
+  uint64_t revisionOf(const std::string &Id) const;
   /// True while upstreams are kept that the store does not list.
   bool hasDeferredRemovals() const { return !DeferredRemovals.empty(); }
   const CatalogRevisions &revisions() const { return Current; }
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -82,6 +82,7 @@
     const std::pair<const char *, uint64_t> Gauges[] = {
         {"store_calls_total", Store.storeCalls()},
         {"store_reached", Store.inContact() ? 1 : 0},
+        {"store_era", Store.storeEra()},
         {"config_version", Known.revisions().Config},
         {"upstreams_revision", Known.revisions().Upstreams},
         {"releases_revision", Known.revisions().Releases},
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -87,7 +87,8 @@
     Newest = std::max(Newest, Object.Revision);
   Log("store listed=" + std::string(Kind) + " objects=" +
       std::to_string(List.size()) + " revision=" + std::to_string(Revision) +
-      " newest=" + std::to_string(Newest));
+      " newest=" + std::to_string(Newest) +
+      " era=" + std::to_string(Store.era()));
 }
 
 void StoreWatcher::onConfigObject(const platform::StoreObject &Object) {
@@ -116,7 +117,8 @@
     if (auto Record = platform::decodeUpstream(Object.Name, Object.Content))
       Records[Object.Name] = std::move(*Record);
   Log("upstreams listed=" + std::to_string(List.size()) + " usable=" +
-      std::to_string(Records.size()) + " revision=" + std::to_string(Revision));
+      std::to_string(Records.size()) + " revision=" + std::to_string(Revision) +
+      " era=" + std::to_string(Store.era()));
   KnownCatalog.applyUpstreams(currentTime().Steady, Revision, Records);
   scheduleNotification();
   scheduleAbsenceCheck();
@@ -126,6 +128,11 @@
   std::optional<UpstreamRecord> Record;
   if (!Object.Removed)
     Record = platform::decodeUpstream(Object.Name, Object.Content);
+  if (const uint64_t Known = KnownCatalog.revisionOf(Object.Name);
+      Object.Revision < Known)
+    Log("upstream id=" + Object.Name + " outcome=outdated revision=" +
+        std::to_string(Object.Revision) + " known=" + std::to_string(Known) +
+        " era=" + std::to_string(Store.era()));
   if (!KnownCatalog.applyUpstream(currentTime().Steady, Object.Revision,
                                   Object.Name, Record ? &*Record : nullptr))
     return;
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -39,6 +39,7 @@
   /// False while the store cannot be reached.
   bool inContact() const { return InContact; }
   uint64_t storeCalls() const { return Store.calls(); }
+  uint64_t storeEra() const { return Store.era(); }
 
 private:
   void logList(std::string_view Kind, uint64_t Revision,
