--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -2,6 +2,7 @@
 // work to that thread and waits for the result.
 #include "testing/platform_standin.h"
 
+#include <set>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -15,6 +16,8 @@
 
 namespace {
 
+constexpr const char *UnreadableName = "unreadable";
+
 Json routeSpec(const char *Name, const char *Kind, const char *Service) {
   return {{"name", Name},
           {"host", "h"},
@@ -89,6 +92,32 @@
     Store.put("servers", U.spec().Id, serverRecord(U));
   }
 
+  void rewrite() {
+    Store.put("config", "main", configSpec(ConfigVersion, HasExtraRoute));
+    for (const auto &[Adapter, Release] : Common.Releases)
+      writeRelease(Adapter, Release.Version);
+    std::set<std::string> Listed;
+    for (const auto &[Name, U] : Upstreams) {
+      if (Unlisted.contains(Name))
+        continue;
+      Listed.insert(U->spec().Id);
+      if (U->running())
+        writeRecord(*U);
+    }
+    for (const std::string &Id : Store.names("servers"))
+      if (!Listed.contains(Id) && Id != UnreadableName)
+        Store.erase("servers", Id);
+  }
+
+  void writeRelease(const std::string &Adapter, int Version) {
+    Store.put("versions", "m." + Adapter,
+              {{"model", "m"}, {"adapter", Adapter}, {"version", Version}});
+  }
+
+  int ConfigVersion = 0;
+  bool HasExtraRoute = false;
+  // Upstreams whose records were removed.
+  std::set<std::string> Unlisted;
   boost::asio::io_context Io{1};
   StoreStandIn Store;
   UpstreamsShared Common;
@@ -112,8 +141,11 @@
 }
 
 void PlatformStandIn::putConfig(int Version, bool Extra) {
-  onThread(
-      [&] { Impl->Store.put("config", "main", configSpec(Version, Extra)); });
+  onThread([&] {
+    Impl->ConfigVersion = Version;
+    Impl->HasExtraRoute = Extra;
+    Impl->Store.put("config", "main", configSpec(Version, Extra));
+  });
 }
 
 void PlatformStandIn::addEngine(const std::string &Id,
@@ -147,6 +179,7 @@
 void PlatformStandIn::restore(const std::string &Name) {
   onThread([&] {
     Impl->at(Name).setDraining(Time{});
+    Impl->Unlisted.erase(Name);
     Impl->writeRecord(Impl->at(Name));
   });
 }
@@ -154,13 +187,14 @@
 void PlatformStandIn::remove(const std::string &Name) {
   onThread([&] {
     Impl->at(Name).setDraining(currentTime().Steady);
+    Impl->Unlisted.insert(Name);
     Impl->Store.erase("servers", Impl->at(Name).spec().Id);
   });
 }
 
 void PlatformStandIn::putGarbage() {
   onThread([&] {
-    Impl->Store.put("servers", "unreadable",
+    Impl->Store.put("servers", UnreadableName,
                     {{"service", 7}, {"address", Json::array()}});
     Impl->Store.put("versions", "unreadable", {{"model", nullptr}});
     Impl->Store.put("config", "unreadable", {{"version", "x"}});
@@ -188,6 +222,7 @@
       Impl->Store.erase("servers", PreviousId);
     U.start(Id.empty() ? PreviousId : Id);
     U.setDraining(Time{});
+    Impl->Unlisted.erase(Name);
     Impl->writeRecord(U);
     return true;
   });
@@ -222,9 +257,7 @@
 void PlatformStandIn::release(const std::string &Adapter, int Version) {
   onThread([&] {
     Impl->Common.Releases[Adapter] = {Version, currentTime().Steady};
-    Impl->Store.put(
-        "versions", "m." + Adapter,
-        {{"model", "m"}, {"adapter", Adapter}, {"version", Version}});
+    Impl->writeRelease(Adapter, Version);
   });
 }
 
@@ -236,6 +269,22 @@
   onThread([&] { Impl->Store.dropHistory(); });
 }
 
+void PlatformStandIn::restoreStore(Duration Age, bool Rewrite) {
+  onThread([&] {
+    Impl->Store.restore(currentTime().Steady, Age);
+    if (Rewrite)
+      Impl->rewrite();
+  });
+}
+
+void PlatformStandIn::rewriteStore() {
+  onThread([&] { Impl->rewrite(); });
+}
+
+uint64_t PlatformStandIn::storeRevision() const {
+  return onThread([&] { return Impl->Store.revision(); });
+}
+
 UpstreamTally PlatformStandIn::tally(const std::string &Name) const {
   return onThread([&] { return Impl->at(Name).tally(); });
 }
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -84,6 +84,13 @@
   void setStoreFault(StoreFault F);
   /// Drops the store's log of changes. Open watches are not notified.
   void dropHistory();
+  /// The store comes back from a copy of its state of \p Age ago. With
+  /// \p Rewrite, the operator and the upstreams write again at once what has
+  /// been lost.
+  void restoreStore(Duration Age, bool Rewrite = true);
+  /// Writes the newest configuration, releases and records of upstreams again.
+  void rewriteStore();
+  uint64_t storeRevision() const;
   UpstreamTally tally(const std::string &Name) const;
   /// The adapters that an engine holds, with their versions.
   std::map<std::string, int> held(const std::string &Name) const;
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -23,6 +23,44 @@
                          onRequest(Request, Responder);
                        }) {}
 
+http::Headers StoreStandIn::headers() const {
+  http::Headers Out = jsonType();
+  Out.push_back({"Store-Era", std::to_string(Era)});
+  if (Fault == StoreFault::Throttled)
+    Out.push_back({"Retry-After", "1"});
+  return Out;
+}
+
+void StoreStandIn::keepCopy() {
+  Copies.push_back({currentTime().Steady, Revision, Objects});
+  if (Copies.size() > MaxCopies)
+    Copies.pop_front();
+}
+
+void StoreStandIn::restore(Time Now, Duration Age) {
+  while (Copies.size() > 1 && Copies.back().At > Now - Age)
+    Copies.pop_back();
+  if (!Copies.empty()) {
+    Revision = Copies.back().Revision;
+    Objects = Copies.back().Objects;
+  }
+  ++Era;
+  std::erase_if(Changes,
+                [&](const Change &C) { return C.Revision > Revision; });
+  std::list<PendingWatch> Cut;
+  Cut.swap(Watches);
+  for (const PendingWatch &Pending : Cut)
+    Pending.To->abort();
+}
+
+std::vector<std::string> StoreStandIn::names(const std::string &Kind) const {
+  std::vector<std::string> Out;
+  if (const auto It = Objects.find(Kind); It != Objects.end())
+    for (const auto &[Name, Object] : It->second)
+      Out.push_back(Name);
+  return Out;
+}
+
 void StoreStandIn::put(const std::string &Kind, const std::string &Name,
                        Json Spec) {
   ++Revision;
@@ -35,6 +73,7 @@
                  {"spec", std::move(Spec)},
                  {"status", nullptr}};
   Objects[Kind][Name] = Object;
+  keepCopy();
   notifyWatches(Kind, Object, false);
 }
 
@@ -45,6 +84,7 @@
   Json Object = It->second;
   Object["metadata"]["revision"] = ++Revision;
   Objects[Kind].erase(It);
+  keepCopy();
   notifyWatches(Kind, Object, true);
 }
 
@@ -69,19 +109,19 @@
 }
 
 void StoreStandIn::answerWatch(const PendingWatch &Pending) {
-  if (Pending.Since < HistoryFrom)
-    return Pending.To->respond(410, jsonType(), "{}");
+  if (Pending.Since < HistoryFrom || Pending.Since > Revision)
+    return Pending.To->respond(410, headers(), "{}");
   Json Events = Json::array();
   for (const Change &C : Changes)
     if (C.Revision > Pending.Since && C.Kind == Pending.Kind)
       Events.push_back(C.Event);
   Pending.To->respond(
-      200, jsonType(),
+      200, headers(),
       Json{{"events", Events}, {"store_revision", Revision}}.dump());
 }
 
 bool StoreStandIn::hasChanges(const PendingWatch &Pending) const {
-  return Pending.Since < HistoryFrom ||
+  return Pending.Since < HistoryFrom || Pending.Since > Revision ||
          std::any_of(Changes.begin(), Changes.end(), [&](const Change &C) {
            return C.Revision > Pending.Since && C.Kind == Pending.Kind;
          });
@@ -90,7 +130,7 @@
 void StoreStandIn::onRequest(const http::Request &Request,
                              const ResponderPtr &Responder) {
   if (!Request.path().starts_with(Prefix))
-    return Responder->respond(404, {}, "");
+    return Responder->respond(404, headers(), "");
   if (!answerWithFault(Request, Responder))
     serve(Request, Responder);
 }
@@ -101,10 +141,10 @@
   case StoreFault::None:
     return false;
   case StoreFault::Unavailable:
-    Responder->respond(503, {}, "");
+    Responder->respond(503, headers(), "");
     return true;
   case StoreFault::Throttled:
-    Responder->respond(429, {{"Retry-After", "1"}}, "");
+    Responder->respond(429, headers(), "");
     return true;
   case StoreFault::Silent:
     Unanswered.push_back(Responder);
@@ -114,10 +154,10 @@
              [this, Request, Responder] { serve(Request, Responder); });
     return true;
   case StoreFault::Garbage:
-    Responder->respond(200, jsonType(), "{\"items\": 7, \"events\": [[");
+    Responder->respond(200, headers(), "{\"items\": 7, \"events\": [[");
     return true;
   case StoreFault::Truncated:
-    Responder->begin(200, jsonType());
+    Responder->begin(200, headers());
     Responder->data(std::string("{\"items\": []}").substr(0, TruncatedBytes));
     Responder->abort();
     return true;
@@ -141,7 +181,7 @@
     for (const auto &[Name, Object] : It->second)
       Items.push_back(Object);
   Responder->respond(
-      200, jsonType(),
+      200, headers(),
       Json{{"items", Items}, {"truncated", false}, {"store_revision", Revision}}
           .dump());
 }
@@ -159,7 +199,7 @@
       return;
     Watches.erase(It);
     To->respond(
-        200, jsonType(),
+        200, headers(),
         Json{{"events", Json::array()}, {"store_revision", Revision}}.dump());
   });
 }
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -1,5 +1,6 @@
 // A stand-in for the platform's store. It serves lists and watches of objects
-// by kind, keeps a log of changes, and can be set to answer faultily.
+// by kind, keeps a log of changes, can be set to answer faultily, and can come
+// back from an older copy of its state.
 //
 //   StoreStandIn Store(Io);
 //   Store.put("config", "main", Spec);
@@ -7,6 +8,7 @@
 #ifndef GOLDCRESTLINK_TESTING_STORE_STANDIN_H
 #define GOLDCRESTLINK_TESTING_STORE_STANDIN_H
 
+#include <deque>
 #include <list>
 #include <map>
 #include <memory>
@@ -15,6 +17,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/time.h"
 #include "http/server.h"
 
 namespace goldcrestlink::testing {
@@ -55,11 +58,25 @@
   /// one are answered with 410 at once.
   void dropHistory();
   void setFault(StoreFault F) { Fault = F; }
+  /// Returns to the state of \p Age ago, or to the oldest copy that is kept.
+  /// Revisions go back with it, the era rises, and open watches are cut off.
+  void restore(Time Now, Duration Age);
+  std::vector<std::string> names(const std::string &Kind) const;
+  uint64_t revision() const { return Revision; }
 
   static constexpr auto SlowAnswer = std::chrono::milliseconds(1500);
+  /// Copies of the state that are kept, one for each change.
+  static constexpr size_t MaxCopies = 512;
 
 private:
   using ResponderPtr = std::shared_ptr<http::Responder>;
+  using ObjectMap =
+      std::map<std::string, std::map<std::string, nlohmann::json>>;
+  struct Copy {
+    Time At{};
+    uint64_t Revision = 0;
+    ObjectMap Objects;
+  };
   struct Change {
     uint64_t Revision;
     std::string Kind;
@@ -72,6 +89,8 @@
     ResponderPtr To;
   };
 
+  http::Headers headers() const;
+  void keepCopy();
   void notifyWatches(const std::string &Kind, const nlohmann::json &Object,
                      bool Removed);
   void answerWatch(const PendingWatch &Pending);
@@ -89,8 +108,10 @@
   uint64_t Revision = 1;
   /// Watches from a revision below this are answered with 410.
   uint64_t HistoryFrom = 0;
+  uint64_t Era = 1;
   StoreFault Fault = StoreFault::None;
-  std::map<std::string, std::map<std::string, nlohmann::json>> Objects;
+  ObjectMap Objects;
+  std::deque<Copy> Copies;
   std::vector<Change> Changes;
   std::list<PendingWatch> Watches;
   /// Held open for StoreFault::Silent: destroying a responder closes its
