Order revisions of the store by era

Callers saw: after the store had come back from an older copy, requests still reached upstreams more than two seconds after their report that they leave.

Cause: the catalog drops an update whose revision is lower than the last one of the upstream, and the restored store gives out lower revisions again. Class of fault: a number that orders states within one history is used across histories.

Fix: era and number are one ordered value everywhere. Deferred changes and complete states are passed on to processes without the store.

--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -1,11 +1,17 @@
 // The revision of the last update is kept for each upstream, removed ones
 // included, so that an outdated list or a late event cannot undo a newer
-// update. Every start of an upstream has a new id, so this table would grow
-// without bound: when it exceeds MaxRevisions entries, the revisions of removed
-// upstreams are dropped. A route look-up scans the routes of one host only.
+// update. Revisions are ordered by era first, so state from before a restore of
+// the store yields to state from after it. The first list of an era may still
+// be older than what is known: upstreams that it lacks are kept, and those
+// known as draining or removed stay so, until the store reports a change or a
+// grace period ends. Every start of an upstream has a new id, so this table
+// would grow without bound: when it exceeds MaxRevisions entries, the revisions
+// of removed upstreams are dropped. A route look-up scans the routes of one
+// host only.
 #include "catalog/catalog.h"
 
 #include <algorithm>
+#include <set>
 
 namespace goldcrestlink {
 
@@ -39,97 +45,169 @@
 }
 
 void Catalog::applyUpstreams(
-    Time Now, uint64_t Revision,
+    Time Now, StoreRevision Revision,
     const std::map<std::string, UpstreamRecord> &Records) {
+  std::vector<UpstreamChange> All;
+  All.reserve(Records.size());
   for (const auto &[Id, Record] : Records)
-    applyUpstream(Now, Revision, Id, &Record);
-  std::vector<std::string> Missing;
+    All.push_back({Id, Revision, Record});
+  applyAll(Now, Revision, All);
+}
+
+bool Catalog::applyAll(Time Now, StoreRevision Revision,
+                       std::span<const UpstreamChange> All) {
+  if (Revision.Era < Current.Upstreams.Era)
+    return false;
+  const bool IsNewEra = Revision.Era > Current.Upstreams.Era;
+  // Upstreams that registered after the copy was made register again.
+  if (IsNewEra && !Revisions.empty())
+    GraceUntil = std::max(GraceUntil, Now + Opts.absenceGrace());
+  bool Changed = false;
+  std::set<std::string> Missing;
   for (const auto &[Id, Record] : Upstreams)
-    if (!Records.contains(Id))
-      Missing.push_back(Id);
+    Missing.insert(Id);
+  for (const auto &[Id, Later] : Deferred)
+    Missing.insert(Id);
+  for (const UpstreamChange &C : All) {
+    Missing.erase(C.Id);
+    Changed |= applyChange(Now, Revision, C);
+  }
   for (const std::string &Id : Missing)
-    applyUpstream(Now, Revision, Id, nullptr);
+    Changed |= apply(Now, Revision, Id, nullptr, Source::List);
+  if (IsNewEra)
+    Current.Upstreams = std::max(Current.Upstreams, Revision);
+  return Changed;
 }
 
-bool Catalog::applyUpstream(Time Now, uint64_t Revision, const std::string &Id,
+bool Catalog::applyChange(Time Now, StoreRevision Revision,
+                          const UpstreamChange &Change) {
+  const bool Changed =
+      apply(Now, Revision, Change.Id, Change.Record ? &*Change.Record : nullptr,
+            Source::List);
+  if (Change.Deferred && Revisions[Change.Id].Seen == Revision &&
+      !Deferred.contains(Change.Id))
+    Deferred[Change.Id] = {
+        Now + std::min(Change.Deferred->Remaining, Opts.restoredGrace()),
+        Change.Deferred->Record};
+  return Changed;
+}
+
+bool Catalog::applyUpstream(Time Now, StoreRevision Revision,
+                            const std::string &Id,
                             const UpstreamRecord *Record) {
+  return apply(Now, Revision, Id, Record, Source::Event);
+}
+
+bool Catalog::isDeferred(const std::string &Id,
+                         const UpstreamRecord *Record) const {
+  const auto It = Deferred.find(Id);
+  if (It == Deferred.end())
+    return false;
+  const std::optional<UpstreamRecord> &Later = It->second.Record;
+  return Record ? Later && *Later == *Record : !Later;
+}
+
+bool Catalog::apply(Time Now, StoreRevision Revision, const std::string &Id,
+                    const UpstreamRecord *Record, Source From) {
+  if (Revision.Era < Current.Upstreams.Era)
+    return false;
   struct Revision &Known = Revisions[Id];
   if (Revision < Known.Seen)
     return false;
+  const bool IsFirstOfEra =
+      Known.Seen != StoreRevision() && Revision.Era > Known.Seen.Era;
   Known.Seen = Revision;
   const auto Old = Upstreams.find(Id);
-  const bool Unchanged = Record ? Old != Upstreams.end() &&
-                                      Old->second == *Record &&
-                                      !DeferredRemovals.contains(Id)
-                                : Old == Upstreams.end() && Known.Changed > 0;
-  if (Unchanged)
+  const bool Unchanged =
+      Record ? Old != Upstreams.end() && Old->second == *Record
+             : Old == Upstreams.end() && Known.Changed != StoreRevision();
+  if (Unchanged ? !Deferred.contains(Id)
+                : From == Source::List && isDeferred(Id, Record))
     return false;
   Known.Changed = Revision;
   Current.Upstreams = std::max(Current.Upstreams, Revision);
-  if (Record) {
-    DeferredRemovals.erase(Id);
-    Upstreams[Id] = *Record;
-  } else {
+  Deferred.erase(Id);
+  if (!Record)
     remove(Now, Id);
-  }
+  else if (!Unchanged && From == Source::List && IsFirstOfEra &&
+           !Record->Draining)
+    Deferred[Id] = {Now + Opts.restoredGrace(), *Record};
+  else
+    Upstreams[Id] = *Record;
   trimRevisions();
   return true;
 }
 
-uint64_t Catalog::revisionOf(const std::string &Id) const {
+StoreRevision Catalog::revisionOf(const std::string &Id) const {
   const auto It = Revisions.find(Id);
-  return It == Revisions.end() ? 0 : It->second.Seen;
+  return It == Revisions.end() ? StoreRevision() : It->second.Seen;
 }
 
 void Catalog::trimRevisions() {
   if (Revisions.size() <= MaxRevisions)
     return;
   std::erase_if(Revisions, [&](const auto &Item) {
-    return !Upstreams.contains(Item.first);
+    return !Upstreams.contains(Item.first) && !Deferred.contains(Item.first);
   });
 }
 
 void Catalog::remove(Time Now, const std::string &Id) {
   if (Now < GraceUntil && Upstreams.contains(Id))
-    DeferredRemovals[Id] = GraceUntil;
+    Deferred[Id] = {GraceUntil, std::nullopt};
   else
     Upstreams.erase(Id);
 }
 
 bool Catalog::applyRelease(const WeightRelease &Release) {
   WeightRelease &Known = Releases[releaseKey(Release.Model, Release.Adapter)];
-  if (Release.Version <= Known.Version)
+  if (Release.Version < Known.Version)
     return false;
-  Known = Release;
-  Current.Releases = std::max(Current.Releases, Release.Revision);
-  return true;
+  const bool IsNewer = Release.Version > Known.Version;
+  // A version that is announced again, in a later era, is sent to processes
+  // that know the store only from then on.
+  if (IsNewer || Release.Revision > Known.Revision) {
+    Known = Release;
+    Current.Releases = std::max(Current.Releases, Release.Revision);
+  }
+  return IsNewer;
 }
 
 bool Catalog::applyUpdate(Time Now, const CatalogUpdate &Update) {
   bool Changed = false;
-  for (const UpstreamChange &C : Update.Upstreams)
-    Changed |=
-        applyUpstream(Now, C.Revision, C.Id, C.Record ? &*C.Record : nullptr);
+  // A sender that has not seen the store's return has only older state.
+  if (Update.AsOf.Upstreams.Era >= Current.Upstreams.Era) {
+    if (Update.Complete)
+      Changed |= applyAll(Now, Update.AsOf.Upstreams, Update.Upstreams);
+    else
+      for (const UpstreamChange &C : Update.Upstreams)
+        Changed |= applyChange(Now, C.Revision, C);
+    // All changes up to the sender's revisions are known now.
+    Current.Upstreams = std::max(Current.Upstreams, Update.AsOf.Upstreams);
+  }
   for (const WeightRelease &R : Update.Releases)
     Changed |= applyRelease(R);
-  // All changes up to the sender's revisions are known now.
-  Current.Upstreams = std::max(Current.Upstreams, Update.AsOf.Upstreams);
   Current.Releases = std::max(Current.Releases, Update.AsOf.Releases);
   return Changed;
 }
 
-CatalogUpdate Catalog::since(const CatalogRevisions &Known) const {
+CatalogUpdate Catalog::since(Time Now, const CatalogRevisions &Known) const {
   CatalogUpdate Out;
   Out.AsOf = Current;
+  Out.Complete = Known.Upstreams.Era < Current.Upstreams.Era;
   if (ConfigText && Current.Config > Known.Config)
     Out.ConfigText = *ConfigText;
   for (const auto &[Id, R] : Revisions) {
-    if (R.Changed <= Known.Upstreams)
+    const auto Found = Upstreams.find(Id);
+    const auto Later = Deferred.find(Id);
+    const bool Exists = Found != Upstreams.end() || Later != Deferred.end();
+    if (Out.Complete ? !Exists : R.Changed <= Known.Upstreams)
       continue;
     UpstreamChange Change{Id, R.Changed, std::nullopt};
-    if (const auto It = Upstreams.find(Id);
-        It != Upstreams.end() && !DeferredRemovals.contains(Id))
-      Change.Record = It->second;
+    if (Found != Upstreams.end())
+      Change.Record = Found->second;
+    if (Later != Deferred.end())
+      Change.Deferred = {std::max(Duration(0), Later->second.Until - Now),
+                         Later->second.Record};
     Out.Upstreams.push_back(std::move(Change));
   }
   for (const auto &[Key, R] : Releases)
@@ -144,13 +222,16 @@
 
 bool Catalog::onTimer(Time Now) {
   bool Changed = false;
-  for (auto It = DeferredRemovals.begin(); It != DeferredRemovals.end();) {
-    if (Now < It->second) {
+  for (auto It = Deferred.begin(); It != Deferred.end();) {
+    if (Now < It->second.Until) {
       ++It;
       continue;
     }
-    Upstreams.erase(It->first);
-    It = DeferredRemovals.erase(It);
+    if (It->second.Record)
+      Upstreams[It->first] = *It->second.Record;
+    else
+      Upstreams.erase(It->first);
+    It = Deferred.erase(It);
     Changed = true;
   }
   return Changed;
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -30,9 +31,9 @@
 struct CatalogRevisions {
   /// Version of the configuration.
   uint64_t Config = 0;
-  /// Store revisions up to which all changes are known.
-  uint64_t Upstreams = 0;
-  uint64_t Releases = 0;
+  /// Revisions of the store up to which all changes are known.
+  StoreRevision Upstreams;
+  StoreRevision Releases;
 
   bool operator==(const CatalogRevisions &) const = default;
   /// True if \p Other is newer in any part.
@@ -42,11 +43,19 @@
   }
 };
 
+/// A change of one upstream that takes effect later, unless the store reports
+/// another one before. Without a record, the upstream is to be removed.
+struct DeferredChange {
+  Duration Remaining{};
+  std::optional<UpstreamRecord> Record;
+};
+
 /// The last change of one upstream. Without a record, the upstream was removed.
 struct UpstreamChange {
   std::string Id;
-  uint64_t Revision = 0;
+  StoreRevision Revision;
   std::optional<UpstreamRecord> Record;
+  std::optional<DeferredChange> Deferred = std::nullopt;
 };
 
 /// A catalog update that one process sends to another whose state is older.
@@ -55,6 +64,9 @@
   /// there is no newer one.
   std::string ConfigText;
   std::vector<UpstreamChange> Upstreams;
+  /// Upstreams contains all that exist. So it is for a receiver whose state is
+  /// of an earlier era.
+  bool Complete = false;
   std::vector<WeightRelease> Releases;
   /// The sender's revisions.
   CatalogRevisions AsOf;
@@ -70,6 +82,11 @@
     /// an outage are kept. The platform guarantees that expired records are
     /// back within 2 s.
     Duration absenceGrace() const { return AbsenceGrace; }
+    /// How long a record from an older copy of the store is not used if it
+    /// contradicts what was known before, such as that the upstream is draining
+    /// or removed. The platform removes a record that is not renewed within
+    /// three heartbeats, 3.6 s.
+    Duration restoredGrace() const { return RestoredGrace; }
     Options &setAbsenceGrace(Duration D) {
       AbsenceGrace = D;
       return *this;
@@ -77,6 +94,7 @@
 
   private:
     Duration AbsenceGrace = std::chrono::milliseconds(2200);
+    Duration RestoredGrace = std::chrono::milliseconds(4000);
   };
 
   Catalog() = default;
@@ -89,13 +107,15 @@
   bool applyConfig(std::shared_ptr<const DeploymentConfig> Config,
                    std::string Text);
   /// Applies a complete list as of \p Revision. Upstreams that are not in it
-  /// are removed.
-  void applyUpstreams(Time Now, uint64_t Revision,
+  /// are removed. The first list of an era may be older than what is known:
+  /// what it contradicts stays in force for a grace period.
+  void applyUpstreams(Time Now, StoreRevision Revision,
                       const std::map<std::string, UpstreamRecord> &Records);
   /// Applies one change as of \p Revision. \p Record is null if the upstream
   /// was removed or its record does not describe a usable upstream. Returns
-  /// true if anything but the revision changed.
-  bool applyUpstream(Time Now, uint64_t Revision, const std::string &Id,
+  /// true if anything but the revision changed. A change of an era before that
+  /// of the last list is ignored.
+  bool applyUpstream(Time Now, StoreRevision Revision, const std::string &Id,
                      const UpstreamRecord *Record);
   /// Returns true if the version is newer than the known one.
   bool applyRelease(const WeightRelease &Release);
@@ -104,8 +124,8 @@
   bool applyUpdate(Time Now, const CatalogUpdate &Update);
   /// The store is reachable again after an outage; starts the grace period.
   void onStoreReconnected(Time Now);
-  /// Removes upstreams whose grace period has ended. Returns true if any was
-  /// removed.
+  /// Carries out the changes whose grace period has ended. Returns true if
+  /// there were any.
   bool onTimer(Time Now);
 
   // Queries.
@@ -125,12 +145,12 @@
     return Upstreams;
   }
   /// The revision of the last update of the upstream; 0 if there was none.
-  uint64_t revisionOf(const std::string &Id) const;
-  /// True while upstreams are kept that the store does not list.
-  bool hasDeferredRemovals() const { return !DeferredRemovals.empty(); }
+  StoreRevision revisionOf(const std::string &Id) const;
+  /// True while changes are deferred.
+  bool hasDeferredChanges() const { return !Deferred.empty(); }
   const CatalogRevisions &revisions() const { return Current; }
   /// The update that brings a process with the revisions \p Known up to date.
-  CatalogUpdate since(const CatalogRevisions &Known) const;
+  CatalogUpdate since(Time Now, const CatalogRevisions &Known) const;
   const std::map<std::string, WeightRelease, std::less<>> &releases() const {
     return Releases;
   }
@@ -138,11 +158,30 @@
 private:
   struct Revision {
     // Revision of the last update received.
-    uint64_t Seen = 0;
+    StoreRevision Seen;
     // Revision of the last update that changed the upstream.
-    uint64_t Changed = 0;
+    StoreRevision Changed;
+  };
+  struct Pending {
+    Time Until;
+    std::optional<UpstreamRecord> Record;
+  };
+  enum class Source {
+    /// A watch: the change was made after the list.
+    Event,
+    /// A list, or the state of another process, which may come from one.
+    List
   };
 
+  bool apply(Time Now, StoreRevision Revision, const std::string &Id,
+             const UpstreamRecord *Record, Source From);
+  /// Applies the complete state of the upstreams as of \p Revision.
+  bool applyAll(Time Now, StoreRevision Revision,
+                std::span<const UpstreamChange> All);
+  bool applyChange(Time Now, StoreRevision Revision,
+                   const UpstreamChange &Change);
+  /// Whether \p Record is the one that takes effect later.
+  bool isDeferred(const std::string &Id, const UpstreamRecord *Record) const;
   void remove(Time Now, const std::string &Id);
   void trimRevisions();
 
@@ -157,9 +196,9 @@
   CatalogRevisions Current;
   std::shared_ptr<const std::string> ConfigText;
   std::map<std::string, WeightRelease, std::less<>> Releases;
-  // Removals deferred after an outage of the store, with the end of the grace
-  // period.
-  std::map<std::string, Time> DeferredRemovals;
+  // Changes deferred after an outage of the store or its return from an older
+  // copy; at most one for each upstream.
+  std::map<std::string, Pending> Deferred;
   Time GraceUntil{};
 };
 
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -48,9 +48,9 @@
 void apply(Catalog &C, const Step &S) {
   const UpstreamRecord Record = record("u", S.What == Step::Draining);
   if (S.What == Step::ListedWithout)
-    C.applyUpstreams(at(0), S.Revision, {{"v", record("v")}});
+    C.applyUpstreams(at(0), {1, S.Revision}, {{"v", record("v")}});
   else
-    C.applyUpstream(at(0), S.Revision, "u",
+    C.applyUpstream(at(0), {1, S.Revision}, "u",
                     S.What == Step::Removed ? nullptr : &Record);
 }
 
@@ -94,26 +94,26 @@
 TEST_CASE("after an outage, missing upstreams are kept for the grace period") {
   Catalog C;
   const UpstreamRecord Record = record("u");
-  C.applyUpstream(at(0), 5, "u", &Record);
+  C.applyUpstream(at(0), {1, 5}, "u", &Record);
   C.onStoreReconnected(at(1000));
-  C.applyUpstream(at(1100), 8, "u", nullptr);
+  C.applyUpstream(at(1100), {1, 8}, "u", nullptr);
   CHECK(std::string(stateOf(C, "u")) == "ready");
   CHECK_FALSE(C.onTimer(at(3000)));
   CHECK(C.onTimer(at(3300)));
   CHECK(std::string(stateOf(C, "u")) == "absent");
   // A removal after the grace period takes effect at once.
-  C.applyUpstream(at(4000), 10, "u", &Record);
-  C.applyUpstream(at(5000), 11, "u", nullptr);
+  C.applyUpstream(at(4000), {1, 10}, "u", &Record);
+  C.applyUpstream(at(5000), {1, 11}, "u", nullptr);
   CHECK(std::string(stateOf(C, "u")) == "absent");
 }
 
 TEST_CASE("an upstream that is listed again within the grace period is kept") {
   Catalog C;
   const UpstreamRecord Record = record("u");
-  C.applyUpstream(at(0), 5, "u", &Record);
+  C.applyUpstream(at(0), {1, 5}, "u", &Record);
   C.onStoreReconnected(at(1000));
-  C.applyUpstream(at(1100), 8, "u", nullptr);
-  C.applyUpstream(at(1900), 9, "u", &Record);
+  C.applyUpstream(at(1100), {1, 8}, "u", nullptr);
+  C.applyUpstream(at(1900), {1, 9}, "u", &Record);
   C.onTimer(at(9000));
   CHECK(std::string(stateOf(C, "u")) == "ready");
 }
@@ -124,8 +124,8 @@
   CHECK_FALSE(C.applyConfig(config(7), "seven again"));
   CHECK_FALSE(C.applyConfig(config(3), "three"));
   CHECK(C.config()->Version == 7);
-  CHECK(C.since({}).ConfigText == "seven");
-  CHECK(C.since({7, 0, 0}).ConfigText.empty());
+  CHECK(C.since(at(0), {}).ConfigText == "seven");
+  CHECK(C.since(at(0), {7, {}, {}}).ConfigText.empty());
 }
 
 TEST_CASE("the longest prefix of the host selects the route") {
@@ -153,27 +153,255 @@
   const UpstreamRecord Record = record("u");
   const UpstreamRecord DrainingRecord = record("u", true);
   const UpstreamRecord OtherRecord = record("v");
-  A.applyUpstream(at(0), 5, "u", &Record);
-  A.applyUpstream(at(0), 9, "u", &DrainingRecord);
-  A.applyRelease({"m", "a1", 3, 12});
-  B.applyUpstream(at(0), 5, "u", &Record);
-  B.applyUpstream(at(0), 6, "v", &OtherRecord);
-  B.applyUpstream(at(0), 7, "v", nullptr);
+  A.applyUpstream(at(0), {1, 5}, "u", &Record);
+  A.applyUpstream(at(0), {1, 9}, "u", &DrainingRecord);
+  A.applyRelease({"m", "a1", 3, {1, 12}});
+  B.applyUpstream(at(0), {1, 5}, "u", &Record);
+  B.applyUpstream(at(0), {1, 6}, "v", &OtherRecord);
+  B.applyUpstream(at(0), {1, 7}, "v", nullptr);
   REQUIRE(B.revisions().lacks(A.revisions()));
-  CHECK(B.applyUpdate(at(1), A.since(B.revisions())));
+  CHECK(B.applyUpdate(at(1), A.since(at(1), B.revisions())));
   CHECK_FALSE(B.revisions().lacks(A.revisions()));
   CHECK(std::string(stateOf(B, "u")) == "draining");
   CHECK(std::string(stateOf(B, "v")) == "absent");
   CHECK(B.releasedVersion("m", "a1") == 3);
   // There is nothing left to send.
-  CHECK(A.since(B.revisions()).Upstreams.empty());
-  CHECK(A.since(B.revisions()).Releases.empty());
+  CHECK(A.since(at(1), B.revisions()).Upstreams.empty());
+  CHECK(A.since(at(1), B.revisions()).Releases.empty());
 }
 
 TEST_CASE("an update without a change does not raise the revision") {
   Catalog C;
   const UpstreamRecord Record = record("u");
-  CHECK(C.applyUpstream(at(0), 5, "u", &Record));
-  CHECK_FALSE(C.applyUpstream(at(0), 8, "u", &Record));
-  CHECK(C.revisions().Upstreams == 5);
+  CHECK(C.applyUpstream(at(0), {1, 5}, "u", &Record));
+  CHECK_FALSE(C.applyUpstream(at(0), {1, 8}, "u", &Record));
+  CHECK(C.revisions().Upstreams == StoreRevision{1, 5});
+}
+
+namespace {
+
+// One update of upstream "u" in a deployment that also has "v".
+struct RestoreStep {
+  int64_t Ms;
+  StoreRevision Revision;
+  enum {
+    Ready,
+    Draining,
+    Removed,
+    ListedReady,
+    ListedDraining,
+    ListedWithout
+  } What;
+};
+
+struct RestoreRow {
+  const char *Name;
+  std::vector<RestoreStep> Steps;
+  // State of "u" after all steps, and once all grace periods are over.
+  const char *Expected;
+  const char *Later;
+};
+
+void apply(Catalog &C, const RestoreStep &S) {
+  using Step = RestoreStep;
+  const bool IsDraining =
+      S.What == Step::Draining || S.What == Step::ListedDraining;
+  const UpstreamRecord Record = record("u", IsDraining);
+  std::map<std::string, UpstreamRecord> List = {{"v", record("v")}};
+  switch (S.What) {
+  case Step::ListedReady:
+  case Step::ListedDraining:
+    List["u"] = Record;
+    [[fallthrough]];
+  case Step::ListedWithout:
+    return C.applyUpstreams(at(S.Ms), S.Revision, List);
+  default:
+    C.applyUpstream(at(S.Ms), S.Revision, "u",
+                    S.What == Step::Removed ? nullptr : &Record);
+  }
+}
+
+// Longer than all grace periods.
+constexpr int64_t SettledMs = 60000;
+
+} // namespace
+
+TEST_CASE("a later change with a lower revision takes effect after a restore "
+          "of the store") {
+  using Step = RestoreStep;
+  const RestoreRow Rows[] = {
+      {"draining",
+       {{0, {1, 90}, Step::Ready},
+        {100, {2, 50}, Step::ListedReady},
+        {5000, {2, 60}, Step::Draining}},
+       "draining",
+       "draining"},
+      {"removed",
+       {{0, {1, 90}, Step::Ready},
+        {100, {2, 50}, Step::ListedReady},
+        {5000, {2, 60}, Step::Removed}},
+       "absent",
+       "absent"},
+      {"draining within the grace period",
+       {{0, {1, 90}, Step::Ready},
+        {100, {2, 50}, Step::ListedReady},
+        {300, {2, 60}, Step::Draining}},
+       "draining",
+       "draining"},
+      {"draining before the first list of the era",
+       {{0, {1, 90}, Step::Ready}, {100, {2, 50}, Step::ListedDraining}},
+       "draining",
+       "draining"},
+      {"registered after the copy, and again later",
+       {{0, {1, 90}, Step::Ready},
+        {100, {2, 50}, Step::ListedWithout},
+        {900, {2, 60}, Step::Ready}},
+       "ready",
+       "ready"},
+      {"registered after the copy, and gone since",
+       {{0, {1, 90}, Step::Ready}, {100, {2, 50}, Step::ListedWithout}},
+       "ready",
+       "absent"},
+      {"the copy is from before it began to drain",
+       {{0, {1, 80}, Step::Ready},
+        {10, {1, 90}, Step::Draining},
+        {100, {2, 50}, Step::ListedReady},
+        {600, {2, 55}, Step::ListedReady}},
+       "draining",
+       "ready"},
+      {"the copy is from before it began to drain, and it reports again",
+       {{0, {1, 80}, Step::Ready},
+        {10, {1, 90}, Step::Draining},
+        {100, {2, 50}, Step::ListedReady},
+        {600, {2, 60}, Step::Draining}},
+       "draining",
+       "draining"},
+      {"the copy is from before it began to drain, and it is ready again",
+       {{0, {1, 80}, Step::Ready},
+        {10, {1, 90}, Step::Draining},
+        {100, {2, 50}, Step::ListedReady},
+        {600, {2, 60}, Step::Ready}},
+       "ready",
+       "ready"},
+      {"the copy is from before it was removed",
+       {{0, {1, 80}, Step::Ready},
+        {10, {1, 90}, Step::Removed},
+        {100, {2, 50}, Step::ListedReady}},
+       "absent",
+       "ready"},
+      {"the copy is from before it was removed, and the record lapses",
+       {{0, {1, 80}, Step::Ready},
+        {10, {1, 90}, Step::Removed},
+        {100, {2, 50}, Step::ListedReady},
+        {3600, {2, 60}, Step::Removed}},
+       "absent",
+       "absent"},
+      {"a list of before the restore arrives late",
+       {{0, {2, 50}, Step::ListedReady}, {10, {1, 90}, Step::ListedWithout}},
+       "ready",
+       "ready"},
+      {"a change of before the restore arrives late",
+       {{0, {2, 50}, Step::ListedReady}, {10, {1, 90}, Step::Draining}},
+       "ready",
+       "ready"},
+      {"an upstream that only the earlier era had",
+       {{0, {2, 50}, Step::ListedWithout}, {10, {1, 90}, Step::Ready}},
+       "absent",
+       "absent"},
+      {"several restores",
+       {{0, {1, 90}, Step::Ready},
+        {100, {2, 50}, Step::ListedReady},
+        {200, {2, 99}, Step::Ready},
+        {300, {3, 20}, Step::ListedReady},
+        {5000, {3, 21}, Step::Draining}},
+       "draining",
+       "draining"},
+  };
+  for (const RestoreRow &R : Rows) {
+    CAPTURE(R.Name);
+    Catalog C;
+    int64_t Last = 0;
+    for (const RestoreStep &S : R.Steps) {
+      C.onTimer(at(S.Ms));
+      apply(C, S);
+      Last = S.Ms;
+    }
+    C.onTimer(at(Last + 1));
+    CHECK(std::string(stateOf(C, "u")) == R.Expected);
+    C.onTimer(at(SettledMs));
+    CHECK(std::string(stateOf(C, "u")) == R.Later);
+    CHECK_FALSE(C.hasDeferredChanges());
+  }
+}
+
+TEST_CASE("a process without the store follows one that has seen the restore") {
+  Catalog Seen;
+  Catalog Other;
+  for (const char *Id : {"u", "v", "w"}) {
+    const UpstreamRecord R = record(Id);
+    Seen.applyUpstream(at(0), {1, 80}, Id, &R);
+    Other.applyUpstream(at(0), {1, 80}, Id, &R);
+  }
+  // Only the other process knows x, and that w drains.
+  const UpstreamRecord X = record("x");
+  const UpstreamRecord DrainingW = record("w", true);
+  Other.applyUpstream(at(10), {1, 91}, "x", &X);
+  Other.applyUpstream(at(10), {1, 92}, "w", &DrainingW);
+  Seen.applyUpstreams(
+      at(100), {2, 50},
+      {{"u", record("u")}, {"v", record("v")}, {"w", record("w")}});
+  Seen.applyUpstream(at(200), {2, 51}, "u", nullptr);
+  // The process that has not seen the restore does not bring back its state.
+  CHECK_FALSE(Seen.revisions().lacks(Other.revisions()));
+  CHECK_FALSE(Seen.applyUpdate(at(300), Other.since(at(300), {})));
+  CHECK(std::string(stateOf(Seen, "x")) == "absent");
+  REQUIRE(Other.revisions().lacks(Seen.revisions()));
+  Other.applyUpdate(at(300), Seen.since(at(300), Other.revisions()));
+  CHECK_FALSE(Other.revisions().lacks(Seen.revisions()));
+  CHECK(std::string(stateOf(Other, "v")) == "ready");
+  // These may be registered and reported again.
+  CHECK(std::string(stateOf(Other, "x")) == "ready");
+  CHECK(std::string(stateOf(Other, "w")) == "draining");
+  const UpstreamRecord Again = record("x");
+  Seen.applyUpstream(at(900), {2, 60}, "x", &Again);
+  Seen.applyUpstream(at(900), {2, 61}, "w", &DrainingW);
+  Other.applyUpdate(at(950), Seen.since(at(950), Other.revisions()));
+  for (Catalog *C : {&Seen, &Other}) {
+    C->onTimer(at(SettledMs));
+    CHECK(std::string(stateOf(*C, "u")) == "absent");
+    CHECK(std::string(stateOf(*C, "w")) == "draining");
+    CHECK(std::string(stateOf(*C, "x")) == "ready");
+  }
+}
+
+TEST_CASE("a deferred change reaches other processes and takes effect there") {
+  Catalog A;
+  Catalog B;
+  Catalog Restarted;
+  const UpstreamRecord Record = record("u");
+  for (Catalog *C : {&A, &B})
+    C->applyUpstream(at(0), {1, 90}, "u", &Record);
+  A.applyUpstreams(at(100), {2, 50}, {{"v", record("v")}});
+  B.applyUpdate(at(200), A.since(at(200), B.revisions()));
+  Restarted.applyUpdate(at(300), A.since(at(300), {}));
+  for (const Catalog *C : {&A, &B, &Restarted})
+    CHECK(std::string(stateOf(*C, "u")) == "ready");
+  for (Catalog *C : {&A, &B, &Restarted}) {
+    C->onTimer(at(2600));
+    CHECK(std::string(stateOf(*C, "u")) == "absent");
+    CHECK(std::string(stateOf(*C, "v")) == "ready");
+  }
+}
+
+TEST_CASE("a release that is announced again in a later era is passed on") {
+  Catalog A;
+  Catalog B;
+  A.applyRelease({"m", "a1", 5, {1, 90}});
+  B.applyRelease({"m", "a1", 4, {2, 40}});
+  CHECK_FALSE(A.applyRelease({"m", "a1", 4, {2, 40}}));
+  CHECK(A.releasedVersion("m", "a1") == 5);
+  CHECK_FALSE(A.applyRelease({"m", "a1", 5, {2, 60}}));
+  REQUIRE(B.revisions().lacks(A.revisions()));
+  B.applyUpdate(at(0), A.since(at(0), B.revisions()));
+  CHECK(B.releasedVersion("m", "a1") == 5);
 }
--- a/catalog/types.h
+++ b/catalog/types.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "base/time.h"
+#include "catalog/store_revision.h"
 #include "http/message.h"
 
 namespace goldcrestlink {
@@ -121,8 +122,8 @@
   std::string Model;
   std::string Adapter;
   uint64_t Version = 0;
-  /// Store revision of the announcement; 0 if it did not come from the store.
-  uint64_t Revision = 0;
+  /// Revision of the announcement; 0 if it did not come from the store.
+  StoreRevision Revision = {};
 };
 
 } // namespace goldcrestlink
--- a/cli/fleet_view.cc
+++ b/cli/fleet_view.cc
@@ -17,7 +17,7 @@
 using Json = nlohmann::ordered_json;
 
 bool isComplete(const CatalogRevisions &R) {
-  return R.Config > 0 && R.Upstreams > 0;
+  return R.Config > 0 && R.Upstreams.Number > 0;
 }
 
 Json routeJson(const RouteSpec &R) {
@@ -49,7 +49,8 @@
   for (const auto &[Id, U] : C.upstreams())
     Upstreams.push_back(upstreamJson(U));
   return {{"config_version", C.config()->Version},
-          {"upstreams_revision", C.revisions().Upstreams},
+          {"store_era", C.revisions().Upstreams.Era},
+          {"upstreams_revision", C.revisions().Upstreams.Number},
           {"releases", C.releases().size()},
           {"routes", Routes},
           {"upstreams", Upstreams}};
@@ -91,6 +92,7 @@
   const Json All = toJson(C);
   std::string Out;
   addLine(Out, {{"config_version", All["config_version"]},
+                {"store_era", All["store_era"]},
                 {"upstreams_revision", All["upstreams_revision"]},
                 {"releases", All["releases"]}});
   for (const char *List : {"routes", "upstreams"})
--- a/daemon/catalog_codec.cc
+++ b/daemon/catalog_codec.cc
@@ -1,44 +1,71 @@
 // Copies field by field.
 #include "daemon/catalog_codec.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace goldcrestlink {
 
 namespace {
 
+// Longer times in messages are invalid.
+constexpr uint64_t MaxDeferredMs = 60000;
+
 void fillRevisions(wire::BeliefRevisions &Message, const CatalogRevisions &R) {
   Message.set_config_version(R.Config);
-  Message.set_upstreams(R.Upstreams);
-  Message.set_releases(R.Releases);
+  Message.set_upstreams(R.Upstreams.Number);
+  Message.set_upstreams_era(R.Upstreams.Era);
+  Message.set_releases(R.Releases.Number);
+  Message.set_releases_era(R.Releases.Era);
+}
+
+void fillRecord(wire::Beliefs::Upstream &Message,
+                const std::optional<UpstreamRecord> &Record) {
+  Message.set_gone(!Record);
+  if (!Record)
+    return;
+  Message.set_service(Record->Service);
+  Message.set_address(Record->Address.text());
+  Message.set_data_centre(Record->DataCentre);
+  Message.set_slots(Record->Slots);
+  Message.set_draining(Record->Draining);
 }
 
 void fillUpstream(wire::Beliefs::Upstream &Message,
                   const UpstreamChange &Change) {
   Message.set_id(Change.Id);
-  Message.set_revision(Change.Revision);
-  Message.set_gone(!Change.Record);
-  if (!Change.Record)
+  Message.set_revision(Change.Revision.Number);
+  Message.set_era(Change.Revision.Era);
+  fillRecord(Message, Change.Record);
+  if (!Change.Deferred)
     return;
-  Message.set_service(Change.Record->Service);
-  Message.set_address(Change.Record->Address.text());
-  Message.set_data_centre(Change.Record->DataCentre);
-  Message.set_slots(Change.Record->Slots);
-  Message.set_draining(Change.Record->Draining);
+  fillRecord(*Message.mutable_deferred(), Change.Deferred->Record);
+  Message.set_deferred_ms(
+      static_cast<uint64_t>(Change.Deferred->Remaining.count() / 1000));
 }
 
-UpstreamChange decodeUpstream(const wire::Beliefs::Upstream &Message) {
-  UpstreamChange Change{Message.id(), Message.revision(), std::nullopt};
+std::optional<UpstreamRecord>
+decodeRecord(const std::string &Id, const wire::Beliefs::Upstream &Message) {
   if (Message.gone())
-    return Change;
+    return std::nullopt;
   UpstreamRecord R;
-  R.Id = Message.id();
+  R.Id = Id;
   R.Service = Message.service();
   R.Address = http::Endpoint::parse(Message.address());
   R.DataCentre = Message.data_centre();
   R.Slots = Message.slots();
   R.Draining = Message.draining();
-  Change.Record = std::move(R);
+  return R;
+}
+
+UpstreamChange decodeUpstream(const wire::Beliefs::Upstream &Message) {
+  UpstreamChange Change{Message.id(),
+                        {Message.era(), Message.revision()},
+                        decodeRecord(Message.id(), Message)};
+  if (Message.has_deferred())
+    Change.Deferred = {std::chrono::milliseconds(std::min<uint64_t>(
+                           Message.deferred_ms(), MaxDeferredMs)),
+                       decodeRecord(Message.id(), Message.deferred())};
   return Change;
 }
 
@@ -68,14 +95,18 @@
     Release.set_model(R.Model);
     Release.set_adapter(R.Adapter);
     Release.set_version(R.Version);
-    Release.set_revision(R.Revision);
+    Release.set_revision(R.Revision.Number);
+    Release.set_era(R.Revision.Era);
   }
+  Message.set_complete(Update.Complete);
   fillRevisions(*Message.mutable_as_of(), Update.AsOf);
   return Out;
 }
 
 CatalogRevisions decodeRevisions(const wire::BeliefRevisions &Message) {
-  return {Message.config_version(), Message.upstreams(), Message.releases()};
+  return {Message.config_version(),
+          {Message.upstreams_era(), Message.upstreams()},
+          {Message.releases_era(), Message.releases()}};
 }
 
 CatalogUpdate decodeCatalogUpdate(const wire::Beliefs &Message) {
@@ -89,8 +120,11 @@
     }
   }
   for (const wire::Beliefs::Release &Item : Message.releases())
-    Update.Releases.push_back(
-        {Item.model(), Item.adapter(), Item.version(), Item.revision()});
+    Update.Releases.push_back({Item.model(),
+                               Item.adapter(),
+                               Item.version(),
+                               {Item.era(), Item.revision()}});
+  Update.Complete = Message.complete();
   Update.AsOf = decodeRevisions(Message.as_of());
   return Update;
 }
--- a/daemon/catalog_exchange.h
+++ b/daemon/catalog_exchange.h
@@ -31,9 +31,10 @@
 
 /// The state in \p Known that is newer than the revisions in \p Request.
 /// Thread-safe.
-inline wire::Envelope catalogUpdateFor(const wire::BeliefRevisions &Request,
+inline wire::Envelope catalogUpdateFor(Time Now,
+                                       const wire::BeliefRevisions &Request,
                                        const Catalog &Known) {
-  return encodeCatalogUpdate(Known.since(decodeRevisions(Request)));
+  return encodeCatalogUpdate(Known.since(Now, decodeRevisions(Request)));
 }
 
 } // namespace goldcrestlink
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -313,7 +313,7 @@
     if (!Message.has_belief_request() || !KnownCatalog)
       return;
     wire::Envelope E =
-        catalogUpdateFor(Message.belief_request(), *KnownCatalog);
+        catalogUpdateFor(now(), Message.belief_request(), *KnownCatalog);
     if (!PeerSocket.send(Peer, E))
       Sinks.Log(LogClass::Routine, "beliefs outcome=peer_gone");
   }
@@ -329,7 +329,7 @@
       if (!KnownCatalog)
         return true;
       wire::Envelope E =
-          catalogUpdateFor(Message.belief_request(), *KnownCatalog);
+          catalogUpdateFor(now(), Message.belief_request(), *KnownCatalog);
       From.sendOrQueue(E);
       return true;
     }
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -83,9 +83,10 @@
         {"store_calls_total", Store.storeCalls()},
         {"store_reached", Store.inContact() ? 1 : 0},
         {"store_era", Store.storeEra()},
+        {"upstreams_era", Known.revisions().Upstreams.Era},
         {"config_version", Known.revisions().Config},
-        {"upstreams_revision", Known.revisions().Upstreams},
-        {"releases_revision", Known.revisions().Releases},
+        {"upstreams_revision", Known.revisions().Upstreams.Number},
+        {"releases_revision", Known.revisions().Releases.Number},
         {"upstreams_draining", Draining},
         {"upstreams_ready", Known.upstreams().size() - Draining}};
     std::string Out;
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -161,7 +161,7 @@
         send(Peer, *E);
     } else if (Message.has_belief_request()) {
       wire::Envelope E =
-          catalogUpdateFor(Message.belief_request(), KnownCatalog);
+          catalogUpdateFor(Now, Message.belief_request(), KnownCatalog);
       send(Peer, E);
     } else if (Message.has_beliefs()) {
       onCatalogUpdate(Now, Peer, decodeCatalogUpdate(Message.beliefs()));
@@ -271,6 +271,7 @@
     const Time Now = now();
     Admission.onTimer(Now);
     Relay.onTimer(Now);
+    KnownCatalog.onTimer(Now);
     requestReport(Now);
     sendLoadIfChanged(Now);
     armTick();
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -9,9 +9,9 @@
 namespace goldcrestlink {
 
 namespace {
-// How often to look for absent upstreams whose grace period after an outage of
-// the store has ended.
-constexpr Duration AbsenceCheckInterval = std::chrono::milliseconds(200);
+// How often to look for deferred changes whose grace period after an outage or
+// restore of the store has ended.
+constexpr Duration DeferredCheckInterval = std::chrono::milliseconds(200);
 // Pause between watches of upstreams, so that one call reports several changes:
 // each upstream writes its record about once a second, mostly to change values
 // that are not used here. A draining upstream must be known well within the
@@ -29,15 +29,19 @@
                            const http::Endpoint &Address, uint64_t Seed,
                            OnChanged InNotifyChanged, OnLog InLog)
     : Io(InIo), Store(InIo, Address, platform::StoreClient::Options(), Seed),
-      AbsenceTimer(InIo), NotifyChanged(std::move(InNotifyChanged)),
+      DeferredTimer(InIo), NotifyChanged(std::move(InNotifyChanged)),
       Log(std::move(InLog)) {}
 
 void StoreWatcher::start() {
   using platform::StoreObject;
   Store.onReachabilityChange(
       [this](bool Reached, std::string_view Why) { onContact(Reached, Why); });
+  Store.onRestored([this](uint64_t Before, uint64_t Era) {
+    Log("store state=restored era=" + std::to_string(Era) +
+        " before=" + std::to_string(Before));
+  });
   platform::WatchHandlers Config;
-  Config.OnList = [this](uint64_t Revision,
+  Config.OnList = [this](StoreRevision Revision,
                          const std::vector<StoreObject> &List) {
     logList(platform::kinds::Config, Revision, List);
     for (const StoreObject &Object : List)
@@ -49,7 +53,7 @@
   Store.watch(platform::kinds::Config, std::move(Config));
 
   platform::WatchHandlers Upstreams;
-  Upstreams.OnList = [this](uint64_t Revision,
+  Upstreams.OnList = [this](StoreRevision Revision,
                             const std::vector<StoreObject> &List) {
     onUpstreams(Revision, List);
   };
@@ -63,7 +67,7 @@
   Store.watch(platform::kinds::Upstreams, std::move(Upstreams));
 
   platform::WatchHandlers Releases;
-  Releases.OnList = [this](uint64_t Revision,
+  Releases.OnList = [this](StoreRevision Revision,
                            const std::vector<StoreObject> &List) {
     logList(platform::kinds::Releases, Revision, List);
     for (const StoreObject &Object : List)
@@ -80,15 +84,14 @@
                      ReleaseRenewalInterval * Factor);
 }
 
-void StoreWatcher::logList(std::string_view Kind, uint64_t Revision,
+void StoreWatcher::logList(std::string_view Kind, StoreRevision Revision,
                            const std::vector<platform::StoreObject> &List) {
-  uint64_t Newest = 0;
+  StoreRevision Newest;
   for (const platform::StoreObject &Object : List)
     Newest = std::max(Newest, Object.Revision);
-  Log("store listed=" + std::string(Kind) + " objects=" +
-      std::to_string(List.size()) + " revision=" + std::to_string(Revision) +
-      " newest=" + std::to_string(Newest) +
-      " era=" + std::to_string(Store.era()));
+  Log("store listed=" + std::string(Kind) +
+      " objects=" + std::to_string(List.size()) +
+      " revision=" + Revision.text() + " newest=" + Newest.text());
 }
 
 void StoreWatcher::onConfigObject(const platform::StoreObject &Object) {
@@ -102,7 +105,7 @@
     if (!KnownCatalog.applyConfig(std::move(Config), Object.Content))
       return;
     Log("config version=" + std::to_string(Version) + " revision=" +
-        std::to_string(Object.Revision) + " routes=" + std::to_string(Routes));
+        Object.Revision.text() + " routes=" + std::to_string(Routes));
     scheduleNotification();
   } catch (const platform::DecodeError &Error) {
     Log("config object=" + Object.Name + " outcome=unreadable why=\"" +
@@ -110,38 +113,36 @@
   }
 }
 
-void StoreWatcher::onUpstreams(uint64_t Revision,
+void StoreWatcher::onUpstreams(StoreRevision Revision,
                                const std::vector<platform::StoreObject> &List) {
   std::map<std::string, UpstreamRecord> Records;
   for (const platform::StoreObject &Object : List)
     if (auto Record = platform::decodeUpstream(Object.Name, Object.Content))
       Records[Object.Name] = std::move(*Record);
   Log("upstreams listed=" + std::to_string(List.size()) + " usable=" +
-      std::to_string(Records.size()) + " revision=" + std::to_string(Revision) +
-      " era=" + std::to_string(Store.era()));
+      std::to_string(Records.size()) + " revision=" + Revision.text());
   KnownCatalog.applyUpstreams(currentTime().Steady, Revision, Records);
   scheduleNotification();
-  scheduleAbsenceCheck();
+  scheduleDeferredCheck();
 }
 
 void StoreWatcher::onUpstream(const platform::StoreObject &Object) {
   std::optional<UpstreamRecord> Record;
   if (!Object.Removed)
     Record = platform::decodeUpstream(Object.Name, Object.Content);
-  if (const uint64_t Known = KnownCatalog.revisionOf(Object.Name);
+  if (const StoreRevision Known = KnownCatalog.revisionOf(Object.Name);
       Object.Revision < Known)
     Log("upstream id=" + Object.Name + " outcome=outdated revision=" +
-        std::to_string(Object.Revision) + " known=" + std::to_string(Known) +
-        " era=" + std::to_string(Store.era()));
+        Object.Revision.text() + " known=" + Known.text());
   if (!KnownCatalog.applyUpstream(currentTime().Steady, Object.Revision,
                                   Object.Name, Record ? &*Record : nullptr))
     return;
   Log("upstream id=" + Object.Name + " state=" +
       (Record ? (Record->Draining ? "draining" : "ready")
               : (Object.Removed ? "removed" : "unreadable")) +
-      " revision=" + std::to_string(Object.Revision));
+      " revision=" + Object.Revision.text());
   scheduleNotification();
-  scheduleAbsenceCheck();
+  scheduleDeferredCheck();
 }
 
 void StoreWatcher::onRelease(const platform::StoreObject &Object) {
@@ -157,7 +158,7 @@
     return;
   Log("release model=" + Record->Model + " adapter=" + Record->Adapter +
       " version=" + std::to_string(Record->Version) +
-      " revision=" + std::to_string(Object.Revision));
+      " revision=" + Object.Revision.text());
   scheduleNotification();
 }
 
@@ -173,9 +174,11 @@
     return;
   Log("beliefs upstreams=" + std::to_string(Update.Upstreams.size()) +
       " releases=" + std::to_string(Update.Releases.size()) +
-      " upstream_revision=" + std::to_string(Update.AsOf.Upstreams) +
+      " complete=" + (Update.Complete ? "yes" : "no") +
+      " upstream_revision=" + Update.AsOf.Upstreams.text() +
       " store=" + (InContact ? "reached" : "lost"));
   scheduleNotification();
+  scheduleDeferredCheck();
 }
 
 void StoreWatcher::onContact(bool Reached, std::string_view Why) {
@@ -194,15 +197,15 @@
   });
 }
 
-void StoreWatcher::scheduleAbsenceCheck() {
-  AbsenceTimer.expires_after(AbsenceCheckInterval);
-  AbsenceTimer.async_wait([this](boost::system::error_code Error) {
+void StoreWatcher::scheduleDeferredCheck() {
+  DeferredTimer.expires_after(DeferredCheckInterval);
+  DeferredTimer.async_wait([this](boost::system::error_code Error) {
     if (Error)
       return;
     if (KnownCatalog.onTimer(currentTime().Steady))
       scheduleNotification();
-    if (KnownCatalog.hasDeferredRemovals())
-      scheduleAbsenceCheck();
+    if (KnownCatalog.hasDeferredChanges())
+      scheduleDeferredCheck();
   });
 }
 
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -42,20 +42,20 @@
   uint64_t storeEra() const { return Store.era(); }
 
 private:
-  void logList(std::string_view Kind, uint64_t Revision,
+  void logList(std::string_view Kind, StoreRevision Revision,
                const std::vector<platform::StoreObject> &List);
   void onConfigObject(const platform::StoreObject &Object);
-  void onUpstreams(uint64_t Revision,
+  void onUpstreams(StoreRevision Revision,
                    const std::vector<platform::StoreObject> &List);
   void onUpstream(const platform::StoreObject &Object);
   void onRelease(const platform::StoreObject &Object);
   void onContact(bool Reached, std::string_view Why);
   void scheduleNotification();
-  void scheduleAbsenceCheck();
+  void scheduleDeferredCheck();
 
   boost::asio::io_context &Io;
   platform::StoreClient Store;
-  boost::asio::steady_timer AbsenceTimer;
+  boost::asio::steady_timer DeferredTimer;
   Catalog KnownCatalog;
   OnChanged NotifyChanged;
   OnLog Log;
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -54,11 +54,11 @@
   uint64_t Revision = 1;
   for (const char *Id : {"p1", "p2"}) {
     const UpstreamRecord U = upstream(Id, "plain");
-    C->applyUpstream(at(0), Revision++, Id, &U);
+    C->applyUpstream(at(0), {1, Revision++}, Id, &U);
   }
   for (const char *Id : {"e1", "e2", "e3"}) {
     const UpstreamRecord U = upstream(Id, "engines");
-    C->applyUpstream(at(0), Revision++, Id, &U);
+    C->applyUpstream(at(0), {1, Revision++}, Id, &U);
   }
   return C;
 }
@@ -457,7 +457,7 @@
     U.Draining = true;
     return U;
   }();
-  C->applyUpstream(at(5), 100, First, &Draining);
+  C->applyUpstream(at(5), {1, 100}, First, &Draining);
   E.Machine.onCatalog(at(5), C);
   // The call that waited there is placed on another engine.
   CHECK(E.Port.Admissions.back().Upstream != First);
