Announce a later era also where it changes nothing else

A process that gets the complete state of a later era from another one, and lacks nothing of it, kept announcing its old revisions: the copy of the catalog that digests are made from was only replaced after a change. It would have requested the complete state again with every digest. The same holds for a version that is announced again.

--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -84,7 +84,7 @@
   const bool Changed =
       apply(Now, Revision, Change.Id, Change.Record ? &*Change.Record : nullptr,
             Source::List);
-  if (Change.Deferred && Revisions[Change.Id].Seen == Revision &&
+  if (Change.Deferred && revisionOf(Change.Id) == Revision &&
       !Deferred.contains(Change.Id))
     Deferred[Change.Id] = {
         Now + std::min(Change.Deferred->Remaining, Opts.restoredGrace()),
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -154,23 +154,28 @@
     return;
   }
   Record->Revision = Object.Revision;
-  if (!KnownCatalog.applyRelease(*Record))
+  const CatalogRevisions Before = KnownCatalog.revisions();
+  const bool IsNewer = KnownCatalog.applyRelease(*Record);
+  // Digests announce the revision also if the version is known already.
+  if (KnownCatalog.revisions() != Before)
+    scheduleNotification();
+  if (!IsNewer)
     return;
   Log("release model=" + Record->Model + " adapter=" + Record->Adapter +
       " version=" + std::to_string(Record->Version) +
       " revision=" + Object.Revision.text());
-  scheduleNotification();
 }
 
 void StoreWatcher::onCatalogUpdate(const CatalogUpdate &Update) {
-  bool Applied = KnownCatalog.applyUpdate(currentTime().Steady, Update);
+  const CatalogRevisions Before = KnownCatalog.revisions();
+  const bool Changed = KnownCatalog.applyUpdate(currentTime().Steady, Update);
   if (!Update.ConfigText.empty()) {
     platform::StoreObject Object;
     Object.Name = "peer";
     Object.Content = Update.ConfigText;
     onConfigObject(Object);
   }
-  if (!Applied)
+  if (!Changed && KnownCatalog.revisions() == Before)
     return;
   Log("beliefs upstreams=" + std::to_string(Update.Upstreams.size()) +
       " releases=" + std::to_string(Update.Releases.size()) +
