Soak: restores of the store, deadly requests and named limits

Callers repeat up to six deadly requests of all kinds; the oracle bounds their runs after the third crash and reports a sound request that is quarantined. Upstreams name limits, which the oracle checks. soak_test shows that it detects a violation of each.

--- a/soak/callers.cc
+++ b/soak/callers.cc
@@ -5,6 +5,7 @@
 #include "soak/callers.h"
 
 #include <future>
+#include <set>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
@@ -34,6 +35,8 @@
 constexpr uint64_t MaxShortStreamEvents = 12;
 constexpr uint64_t LongStreamEvents = 150;
 constexpr uint64_t AbandonedStreamEvents = 300;
+// Between the answer to a deadly request and its next repeat.
+constexpr auto DeadlyInterval = std::chrono::milliseconds(300);
 constexpr auto AbandonAfter = std::chrono::milliseconds(300);
 
 std::string_view pathOf(CallKind Kind) {
@@ -100,7 +103,27 @@
                      static_cast<size_t>(Uniform * Uniform * AdapterCount));
   }
 
-  void send(size_t Entry, CallKind Kind, std::function<void(bool)> Done) {
+  void startDeadly(size_t Number) {
+    if (Deadly.insert(Number).second)
+      repeatDeadly(Number);
+  }
+
+  void repeatDeadly(size_t Number) {
+    if (!Sending)
+      return;
+    constexpr CallKind Kinds[] = {CallKind::Once, CallKind::Read,
+                                  CallKind::Stream};
+    const auto Repeat = [this, Number](bool) {
+      testing::runLater(Io, DeadlyInterval,
+                        [this, Number] { repeatDeadly(Number); });
+    };
+    send(Rand.below(Entries.size()), Kinds[Number % std::size(Kinds)], Repeat,
+         std::string(DeadlyBody) + std::to_string(Number));
+  }
+
+  // The content of a call is its id, unless \p Content is given.
+  void send(size_t Entry, CallKind Kind, std::function<void(bool)> Done,
+            std::string Content = "") {
     const uint64_t Draw = Rand.below(100);
     const bool IsAbandoned =
         Kind == CallKind::Stream && !Done && Draw < AbandonedPercent;
@@ -115,17 +138,21 @@
     http::Request Request;
     Request.Method = "POST";
     Request.Target = std::string(pathOf(Kind));
-    Request.Body = Call->Id + " events=" + std::to_string(Events);
+    const bool IsDeadly = !Content.empty();
+    Request.Body = IsDeadly ? Content + " events=1"
+                            : Call->Id + " events=" + std::to_string(Events);
     Request.Fields = {
         {"Host", "h"},
         {"Request-Id", Call->Id},
         {"Request-Deadline", std::to_string(Opts.deadline().count() / 1000)}};
     if (Kind == CallKind::Stream) {
-      Request.Fields.push_back({"Model", "m/" + randomAdapter()});
+      Request.Fields.push_back(
+          {"Model", "m/" + (IsDeadly ? "a0" : randomAdapter())});
       Request.Fields.push_back(
           {"Token-Count", "100," + std::to_string(Events)});
     }
-    Oracle.onSent(now(), {Call->Id, Kind, Entry, Request.Target, Request.Body});
+    Oracle.onSent(
+        now(), {Call->Id, Kind, Entry, Request.Target, Request.Body, IsDeadly});
     ++OpenCalls;
     start(Call, Entry, std::move(Request), IsAbandoned);
   }
@@ -189,6 +216,8 @@
   double RateFactor = 1;
   double CallsDue = 0;
   size_t OpenCalls = 0;
+  // Numbers of the deadly requests that are repeated.
+  std::set<size_t> Deadly;
   uint64_t LastId = 0;
   bool Sending = true;
   asio::io_context Io{1};
@@ -214,6 +243,11 @@
   });
 }
 
+void Callers::startDeadly(size_t Number) {
+  asio::post(Shared->Io,
+             [S = Shared.get(), Number] { S->startDeadly(Number); });
+}
+
 bool Callers::callAndWait(size_t Entry, CallKind Kind) {
   std::promise<bool> Served;
   asio::post(Shared->Io, [&] {
--- a/soak/callers.h
+++ b/soak/callers.h
@@ -16,6 +16,9 @@
 
 namespace goldcrestlink::soak {
 
+/// Bodies that begin so crash upstreams.
+constexpr std::string_view DeadlyBody = "dead";
+
 class CallersOptions {
 public:
   double rate() const { return Rate; }
@@ -63,6 +66,9 @@
   /// Closes the idle connections to this entry, so that later calls open new
   /// ones.
   void dropIdle(size_t Entry);
+  /// From now on, one caller repeats the deadly request of this number through
+  /// all entries, until stop().
+  void startDeadly(size_t Number);
   /// Sends one call of \p Kind through \p Entry and waits until it ends; true
   /// if the answer is complete with status 200.
   bool callAndWait(size_t Entry, CallKind Kind);
--- a/soak/fleet_under_test.cc
+++ b/soak/fleet_under_test.cc
@@ -76,13 +76,13 @@
   }
   for (size_t I = 0; I < Shape.Engines; ++I)
     addLink({host(EngineProxyBlock, I), UpstreamPort},
-            {host(EngineBlock, I), UpstreamPort});
+            {host(EngineBlock, I), UpstreamPort}, true);
   for (size_t I = 0; I < Shape.Engines; ++I)
     addLink({host(EngineProxyBlock, I), LinkPort},
             {host(EngineBlock, I), LinkPort});
   for (size_t I = 0; I < Shape.Plains; ++I)
     addLink({host(PlainProxyBlock, I), UpstreamPort},
-            {host(PlainBlock, I), UpstreamPort});
+            {host(PlainBlock, I), UpstreamPort}, true);
   for (size_t I = 0; I < Shape.Entries; ++I)
     addEntry(I);
   for (size_t I = 0; I < Shape.Engines; ++I)
@@ -101,8 +101,9 @@
 }
 
 void FleetUnderTest::addLink(const http::Endpoint &Listen,
-                             const http::Endpoint &Target) {
-  Links.push_back(Proxy.addLink(Listen, Target));
+                             const http::Endpoint &Target, bool IsUpstream) {
+  // Entries recognise a crash by a refused connection.
+  Links.push_back(Proxy.addLink(Listen, Target, IsUpstream));
 }
 
 std::string
@@ -317,6 +318,21 @@
   case Action::DropHistory:
     Platform.dropHistory();
     break;
+  case Action::StoreRestored:
+    Platform.restoreStore(std::chrono::milliseconds(Next.Variant), false);
+    break;
+  case Action::StoreRewritten:
+    Platform.rewriteStore();
+    break;
+  case Action::Deadly:
+    Platform.setDeadly("", std::string(DeadlyBody));
+    Traffic.startDeadly(Next.Target);
+    break;
+  case Action::Limit:
+    Platform.setLimit(Upstreams[Next.Target].Name,
+                      Next.Variant > 0 ? std::to_string(Next.Variant) : "");
+    Oracle.onLimit(Now, Upstreams[Next.Target].Name, Next.Variant);
+    break;
   case Action::Garbage:
     Platform.putGarbage();
     break;
@@ -339,6 +355,7 @@
 
 void FleetUnderTest::healAll(Time Now, Callers &Traffic) {
   Platform.setStoreFault(StoreFault::None);
+  Platform.rewriteStore();
   Traffic.setRateFactor(1);
   for (size_t I = 0; I < Links.size(); ++I)
     Proxy.setFault(Links[I], LinkFault::None);
@@ -354,6 +371,8 @@
     Platform.setFault(Target.Name, UpstreamFault::None);
     startUpstream(Target, false);
     Platform.restore(Target.Name);
+    Platform.setLimit(Target.Name, "");
+    Oracle.onLimit(Now, Target.Name, 0);
   }
 }
 
--- a/soak/fleet_under_test.h
+++ b/soak/fleet_under_test.h
@@ -62,7 +62,8 @@
   std::string host(unsigned Block, size_t Index) const;
   std::string storeAndFleetSections(const http::Endpoint &Store,
                                     const std::string &Host) const;
-  void addLink(const http::Endpoint &Listen, const http::Endpoint &Target);
+  void addLink(const http::Endpoint &Listen, const http::Endpoint &Target,
+               bool IsUpstream = false);
   void addEntry(size_t Index);
   void addEngine(size_t Index);
   void addUpstream(const std::string &Name, const std::string &Service,
--- a/soak/guarantee_oracle.cc
+++ b/soak/guarantee_oracle.cc
@@ -70,7 +70,7 @@
              std::to_string(Answer.Status)];
   if (Answer.End == CallEnd::CallerDisconnected)
     Record.DisconnectedAt = Now;
-  else if (Record.SentUndisturbed) {
+  else if (Record.SentUndisturbed && !Record.Sent.Deadly) {
     ++UndisturbedCalls;
     UndisturbedServed +=
         Answer.End == CallEnd::Complete && Answer.Status == 200 ? 1 : 0;
@@ -131,6 +131,8 @@
                                        const ObservedAnswer &Answer) {
   if (guaranteesNotRun(Answer.Status)) {
     Record.RefusedAsNotRun = true;
+    if (!Record.Sent.Deadly && Answer.Body == "quarantined\n")
+      addViolation("BUDGET", Record.Sent.Id, "a sound request is quarantined");
     if (Record.Sent.Kind == CallKind::Once && !Record.Runs.empty())
       addViolation("REFUSED", Record.Sent.Id,
                    "refused as not run, but it has run: " +
@@ -189,12 +191,15 @@
     return addViolation("UNASKED", Observed.RequestId,
                         "no caller has sent this request");
   CallRecord &Record = It->second;
-  Arrivals.push_back(
-      {Observed.At, std::string(serviceOf(Record.Sent.Kind)), !Record.Arrived});
+  Arrivals.push_back({Observed.At, Observed.Upstream,
+                      std::string(serviceOf(Record.Sent.Kind)),
+                      !Record.Arrived});
   Record.Arrived = true;
   if (!Observed.Executed)
     return;
   checkRun(Record, Observed);
+  if (Record.Sent.Deadly)
+    checkDeadlyRun(Record, Observed);
   Record.Runs.push_back({Observed.Upstream, false, std::nullopt});
   checkAttempts(Record);
 }
@@ -248,6 +253,14 @@
   for (Run &R : It->second.Runs)
     if (R.Upstream == Upstream && !R.End)
       R.End = End;
+  if (Record.Sent.Deadly && End == RunEnd::Crashed) {
+    DeadlyRequest &Deadly = DeadlyRequests[Record.Sent.Body];
+    if (++Deadly.Crashes == 3)
+      Deadly.ThirdCrashAt = Now;
+    for (Run &R : It->second.Runs)
+      R.Lost |= R.Upstream == Upstream;
+    markLost(Upstream);
+  }
   // Longer than the bound on disconnects, shorter than the streams whose
   // callers disconnect.
   constexpr Duration MaxRunAfterDisconnect = std::chrono::milliseconds(1500);
@@ -267,12 +280,63 @@
 
 void GuaranteeOracle::onUpstreamCrash(const std::string &Upstream) {
   const std::lock_guard Lock(Mutex);
+  markLost(Upstream);
+}
+
+void GuaranteeOracle::markLost(const std::string &Upstream) {
   for (auto &[Id, Record] : Calls)
     for (Run &R : Record.Runs)
       if (R.Upstream == Upstream && !R.End)
         R.Lost = true;
 }
 
+void GuaranteeOracle::checkDeadlyRun(const CallRecord &Record,
+                                     const RunRecord &Observed) {
+  DeadlyRequest &Deadly = DeadlyRequests[Record.Sent.Body];
+  if (!Bounds.Timed || Deadly.Crashes < 3 || !undisturbedSince(Observed.At) ||
+      Observed.At - Deadly.ThirdCrashAt <= Bounds.Contact)
+    return;
+  if (++Deadly.LateRuns > Bounds.LateDeadlyRuns)
+    addViolation("BUDGET", Record.Sent.Id,
+                 "deadly request \"" + Record.Sent.Body + "\" runs at " +
+                     Observed.Upstream +
+                     ", crashes=" + std::to_string(Deadly.Crashes));
+}
+
+void GuaranteeOracle::onLimit(Time Now, const std::string &Upstream,
+                              int PerSecond) {
+  const std::lock_guard Lock(Mutex);
+  if (const auto It = OpenLimits.find(Upstream); It != OpenLimits.end()) {
+    It->second.To = Now;
+    if (undisturbedSince(It->second.From))
+      EndedLimits.push_back(It->second);
+    OpenLimits.erase(It);
+  }
+  if (PerSecond > 0 && undisturbedSince(Now))
+    OpenLimits[Upstream] = {Upstream, PerSecond, Now, Now};
+}
+
+void GuaranteeOracle::checkLimits() {
+  for (const NamedLimit &L : EndedLimits) {
+    std::vector<Time> Times;
+    for (const Arrival &A : Arrivals)
+      if (A.Upstream == L.Upstream && A.At > L.From + Bounds.Contact &&
+          A.At < L.To)
+        Times.push_back(A.At);
+    const auto Allowed = static_cast<size_t>(Bounds.LimitFactor * L.PerSecond *
+                                                 seconds(Bounds.LimitWindow) +
+                                             Bounds.LimitSlack);
+    for (size_t I = Allowed; Bounds.Timed && I < Times.size(); ++I)
+      if (Times[I] - Times[I - Allowed] < Bounds.LimitWindow) {
+        addViolation("LIMIT", "",
+                     "upstream=" + L.Upstream + " got more than " +
+                         std::to_string(Allowed) + " requests, per_second=" +
+                         std::to_string(L.PerSecond));
+        break;
+      }
+  }
+}
+
 void GuaranteeOracle::onConfiguration(Time Now, bool Extra) {
   const std::lock_guard Lock(Mutex);
   if (Extra == HasExtraRoute)
@@ -343,6 +407,7 @@
     if (!Record.Answered)
       addViolation("ANSWER", Id, "the call never ended");
   checkRetryBudget();
+  checkLimits();
   if (UndisturbedCalls > 0 &&
       static_cast<double>(UndisturbedServed) <
           Bounds.MinServedShare * static_cast<double>(UndisturbedCalls))
--- a/soak/guarantee_oracle.h
+++ b/soak/guarantee_oracle.h
@@ -38,6 +38,8 @@
   size_t Entry = 0;
   std::string Target;
   std::string Body;
+  /// Upstreams crash on it. Repeats have the same body.
+  bool Deadly = false;
 };
 
 struct ObservedAnswer {
@@ -70,6 +72,16 @@
   /// How long after a caller disconnects its request may still reach an
   /// upstream.
   Duration Disconnect = std::chrono::milliseconds(500);
+  /// How long after the third crash of a repeated request, and after an
+  /// upstream names a limit, entries may still act as before.
+  Duration Contact = std::chrono::seconds(3);
+  /// Runs of one deadly request after that.
+  size_t LateDeadlyRuns = 3;
+  /// Requests at an upstream within LimitWindow: LimitFactor times the limit
+  /// that it names, and LimitSlack more.
+  double LimitFactor = 1.5;
+  double LimitSlack = 5;
+  Duration LimitWindow = std::chrono::seconds(4);
   size_t MaxAttempts = testing::PlatformStandIn::MaxAttempts;
   /// Per service, within any RetryWindow: repeats may be at most RetryRatio
   /// times the first attempts, plus RetrySlack.
@@ -96,6 +108,9 @@
                    const std::string &Details) override;
   /// Marks the runs in progress at \p Upstream as lost.
   void onUpstreamCrash(const std::string &Upstream);
+  /// The upstream names this limit from now on, in requests per second; 0:
+  /// none.
+  void onLimit(Time Now, const std::string &Upstream, int PerSecond);
   /// The platform accepted a configuration; \p Extra tells whether it contains
   /// the route of CallKind::Extra.
   void onConfiguration(Time Now, bool Extra);
@@ -138,11 +153,25 @@
   /// A request that reached an upstream, whether it ran or was rejected.
   struct Arrival {
     Time At;
+    std::string Upstream;
     std::string Service;
     /// False if the request had reached an upstream before.
     bool IsFirst;
   };
 
+  struct DeadlyRequest {
+    size_t Crashes = 0;
+    Time ThirdCrashAt{};
+    size_t LateRuns = 0;
+  };
+  /// A limit that was named while no fault was injected.
+  struct NamedLimit {
+    std::string Upstream;
+    int PerSecond = 0;
+    Time From{};
+    Time To{};
+  };
+
   void addViolation(const std::string &Rule, const std::string &Id,
                     const std::string &Details);
   void checkAnswer(Time Now, CallRecord &Record, const ObservedAnswer &Answer);
@@ -154,6 +183,10 @@
   void checkRun(const CallRecord &Record, const testing::RunRecord &Observed);
   void checkAttempts(const CallRecord &Record);
   void checkRetryBudget();
+  void checkDeadlyRun(const CallRecord &Record,
+                      const testing::RunRecord &Observed);
+  void checkLimits();
+  void markLost(const std::string &Upstream);
   bool undisturbedSince(Time From) const {
     return UndisturbedSince && *UndisturbedSince <= From;
   }
@@ -167,6 +200,10 @@
   std::map<std::string, size_t> Outcomes;
   std::vector<std::string> Violations;
   std::vector<Arrival> Arrivals;
+  /// By body.
+  std::map<std::string, DeadlyRequest> DeadlyRequests;
+  std::map<std::string, NamedLimit> OpenLimits;
+  std::vector<NamedLimit> EndedLimits;
   std::optional<Time> UndisturbedSince;
   /// By entry: when a fault that affects it last began or ended.
   std::map<size_t, Time> DisturbedAt;
--- a/soak/loopback_proxy.cc
+++ b/soak/loopback_proxy.cc
@@ -23,15 +23,45 @@
 
 constexpr size_t BufferBytes = 16 * 1024;
 constexpr auto HoldPollInterval = std::chrono::milliseconds(10);
+// Between checks whether a target that is down accepts connections again.
+constexpr auto DownPollInterval = std::chrono::milliseconds(20);
 
 Tcp::endpoint tcpEndpoint(const http::Endpoint &E) {
   return {asio::ip::make_address(E.Address), E.Port};
 }
 
 struct LinkState {
-  LinkState(asio::io_context &Io, const http::Endpoint &Listen,
-            const http::Endpoint &Target)
-      : Acceptor(Io, tcpEndpoint(Listen)), Target(tcpEndpoint(Target)) {}
+  LinkState(asio::io_context &InIo, const http::Endpoint &Listen,
+            const http::Endpoint &Target, bool InMirrorRefusals)
+      : Io(InIo), Listen(tcpEndpoint(Listen)), Target(tcpEndpoint(Target)),
+        MirrorRefusals(InMirrorRefusals), Acceptor(InIo, tcpEndpoint(Listen)) {}
+
+  // Connecting on the loopback interface does not block.
+  bool targetAccepts() const {
+    Tcp::socket Socket(Io);
+    ErrorCode Error;
+    Socket.connect(Target, Error);
+    return !Error;
+  }
+
+  // A connection to the target has ended or failed. Refuses connections from
+  // now on if the target does.
+  void onTargetEnded() {
+    if (!MirrorRefusals || !Acceptor.is_open() || targetAccepts())
+      return;
+    ErrorCode Ignored;
+    Acceptor.close(Ignored);
+    reopenOnceUp();
+  }
+
+  void reopenOnceUp() {
+    testing::runLater(Io, DownPollInterval, [this] {
+      if (!targetAccepts())
+        return reopenOnceUp();
+      Acceptor = Tcp::acceptor(Io, Listen);
+      OnReopened();
+    });
+  }
 
   bool isHeld(bool Forward) const {
     return Fault == LinkFault::Silent ||
@@ -39,8 +69,12 @@
                (Forward ? LinkFault::HeldForward : LinkFault::HeldBackward);
   }
 
-  Tcp::acceptor Acceptor;
+  asio::io_context &Io;
+  Tcp::endpoint Listen;
   Tcp::endpoint Target;
+  bool MirrorRefusals;
+  Tcp::acceptor Acceptor;
+  std::function<void()> OnReopened;
   LinkFault Fault = LinkFault::None;
   std::vector<std::weak_ptr<class Relay>> Relays;
 };
@@ -58,8 +92,10 @@
       return retryLater([Self = shared_from_this()] { Self->start(); });
     TargetSocket.async_connect(
         Link.Target, [Self = shared_from_this()](ErrorCode Error) {
-          if (Error)
+          if (Error) {
+            Self->Link.onTargetEnded();
             return Self->reset();
+          }
           ErrorCode Ignored;
           Self->ClientSocket.set_option(Tcp::no_delay(true), Ignored);
           Self->TargetSocket.set_option(Tcp::no_delay(true), Ignored);
@@ -94,6 +130,8 @@
     from(Forward).async_read_some(
         asio::buffer(Buffers[Forward]),
         [Self = shared_from_this(), Forward](ErrorCode Error, size_t Size) {
+          if (Error && !Forward)
+            Self->Link.onTargetEnded();
           if (Error && Error != asio::error::eof)
             return Self->reset();
           Self->forward(Forward, Size);
@@ -162,7 +200,8 @@
         Link.Relays.push_back(NewRelay);
         NewRelay->start();
       }
-      accept(Link);
+      if (Link.Acceptor.is_open())
+        accept(Link);
     });
   }
 
@@ -189,11 +228,14 @@
 LoopbackProxy::~LoopbackProxy() = default;
 
 size_t LoopbackProxy::addLink(const http::Endpoint &Listen,
-                              const http::Endpoint &Target) {
+                              const http::Endpoint &Target,
+                              bool MirrorRefusals) {
   return Shared->onThread([&] {
-    Shared->Links.push_back(
-        std::make_unique<LinkState>(Shared->Io, Listen, Target));
-    Shared->accept(*Shared->Links.back());
+    Shared->Links.push_back(std::make_unique<LinkState>(
+        Shared->Io, Listen, Target, MirrorRefusals));
+    LinkState &Link = *Shared->Links.back();
+    Link.OnReopened = [S = Shared.get(), &Link] { S->accept(Link); };
+    Shared->accept(Link);
     return Shared->Links.size() - 1;
   });
 }
--- a/soak/loopback_proxy.h
+++ b/soak/loopback_proxy.h
@@ -30,8 +30,11 @@
   ~LoopbackProxy();
   /// Starts to listen at \p Listen and returns the number of the link; throws
   /// boost::system::system_error if the address is in use. If the target
-  /// refuses a connection, the connection to the proxy is reset.
-  size_t addLink(const http::Endpoint &Listen, const http::Endpoint &Target);
+  /// refuses a connection, the connection to the proxy is reset. With
+  /// \p MirrorRefusals the proxy refuses connections too while the target does,
+  /// from when a connection to the target ends or fails.
+  size_t addLink(const http::Endpoint &Listen, const http::Endpoint &Target,
+                 bool MirrorRefusals = false);
   void setFault(size_t Link, LinkFault Fault);
   /// Resets the open connections.
   void reset(size_t Link);
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -19,13 +19,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, 25> ActionNames = {
+constexpr std::array<std::string_view, 29> ActionNames = {
     "link_faulty",     "link_healed",     "link_reset",     "link_silenced",
     "pause",           "resume",          "kill",           "terminate",
     "start",           "reload",          "upstream_crash", "upstream_start",
     "upstream_faulty", "upstream_healed", "drain",          "restore",
     "remove",          "store_faulty",    "store_healed",   "drop_history",
-    "garbage",         "release",         "configure",      "burst",
+    "store_restored",  "store_rewritten", "garbage",        "deadly",
+    "limit",           "release",         "configure",      "burst",
     "burst_over"};
 
 constexpr int MinEpisodes = 4;
@@ -33,6 +34,14 @@
 constexpr int MinEpisodeMs = 200;
 constexpr int MaxEpisodeMs = 3000;
 constexpr int MaxRepeatDelayMs = 700;
+constexpr int MinCopyAgeMs = 300;
+constexpr int MaxCopyAgeMs = 5000;
+// After the return of the store, until the operator and the upstreams have
+// written again what was lost.
+constexpr int MaxRewriteDelayMs = 1000;
+// Requests per second, below the load of an upstream.
+constexpr int MinLimit = 3;
+constexpr int MaxLimit = 8;
 
 class ScheduleGenerator {
 public:
@@ -57,7 +66,12 @@
   std::vector<Step> planned() {
     Steps.clear();
     const size_t Engine = Rand.below(Shape.Engines);
-    const size_t Process = Rand.below(Shape.processes());
+    // An entry that restarts while the store has only older state is not in
+    // touch.
+    const bool WithRestore = Rand.below(2) == 0;
+    const size_t Process = WithRestore
+                               ? Shape.Entries + Rand.below(Shape.Engines)
+                               : Rand.below(Shape.processes());
     add(milliseconds(200), Action::Configure, 0, between(0, 1));
     const int ReleaseMs = between(300, 2000);
     add(milliseconds(ReleaseMs), Action::Release, Rand.below(AdapterCount));
@@ -76,6 +90,12 @@
     add(milliseconds(StopMs + between(0, 5000)), Action::Start, Process);
     const int ConfigureMs = between(2300, 4000);
     add(milliseconds(ConfigureMs), Action::Configure, 0, between(0, 1));
+    if (WithRestore)
+      storeRestored(milliseconds(between(2500, 8000)), 0);
+    const size_t Limited = Rand.below(Shape.upstreams());
+    add(milliseconds(between(0, 500)), Action::Limit, Limited,
+        between(MinLimit, MaxLimit));
+    add(PlannedPhaseLength, Action::Limit, Limited);
     return sorted();
   }
 
@@ -158,6 +178,19 @@
     add(randomEnd(Begin), Action::StoreHealed);
   }
   void dropHistory(Duration Begin, size_t) { add(Begin, Action::DropHistory); }
+  void storeRestored(Duration Begin, size_t) {
+    add(Begin, Action::StoreRestored, 0, between(MinCopyAgeMs, MaxCopyAgeMs));
+    add(Begin + milliseconds(between(0, MaxRewriteDelayMs)),
+        Action::StoreRewritten);
+  }
+  void deadly(Duration Begin, size_t Target) {
+    add(Begin, Action::Deadly, Target % DeadlyRequestCount);
+  }
+  void limit(Duration Begin, size_t Target) {
+    const size_t Upstream = Target % Shape.upstreams();
+    add(Begin, Action::Limit, Upstream, between(MinLimit, MaxLimit));
+    add(randomEnd(Begin), Action::Limit, Upstream);
+  }
   void garbage(Duration Begin, size_t) { add(Begin, Action::Garbage); }
   void release(Duration Begin, size_t Target) {
     add(Begin, Action::Release, Target % AdapterCount);
@@ -170,7 +203,7 @@
     add(randomEnd(Begin), Action::BurstOver);
   }
 
-  static constexpr std::array<Episode, 17> EpisodeKinds = {
+  static constexpr std::array<Episode, 21> EpisodeKinds = {
       &ScheduleGenerator::linkFault,     &ScheduleGenerator::linkFault,
       &ScheduleGenerator::linkReset,     &ScheduleGenerator::linkSilenced,
       &ScheduleGenerator::pause,         &ScheduleGenerator::kill,
@@ -179,6 +212,8 @@
       &ScheduleGenerator::drainOrRemove, &ScheduleGenerator::storeFault,
       &ScheduleGenerator::dropHistory,   &ScheduleGenerator::garbage,
       &ScheduleGenerator::release,       &ScheduleGenerator::configure,
+      &ScheduleGenerator::storeRestored, &ScheduleGenerator::storeRestored,
+      &ScheduleGenerator::deadly,        &ScheduleGenerator::limit,
       &ScheduleGenerator::burst};
 
   Random Rand;
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -62,11 +62,18 @@
   Drain,
   Restore,
   Remove,
-  // The store; the Variant of StoreFaulty is a StoreFault.
+  // The store; the Variant of StoreFaulty is a StoreFault, and that of
+  // StoreRestored the age of the copy in milliseconds.
   StoreFaulty,
   StoreHealed,
   DropHistory,
+  StoreRestored,
+  StoreRewritten,
   Garbage,
+  // Requests that crash upstreams, for the rest of the round, and limits that
+  // an upstream names; the Variant of Limit is in requests per second, 0: none.
+  Deadly,
+  Limit,
   // Releases, configurations and load; the Variant of Configure is 1 for a
   // configuration with the route of CallKind::Extra.
   Release,
@@ -75,6 +82,9 @@
   BurstOver,
 };
 
+/// Requests that may crash upstreams in one round, one after another each.
+constexpr size_t DeadlyRequestCount = 6;
+
 /// The name of \p Kind in schedules and logs.
 std::string_view nameOf(Action Kind);
 
--- a/soak/testing/soak_test.cc
+++ b/soak/testing/soak_test.cc
@@ -4,12 +4,15 @@
 #include <doctest/doctest.h>
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <thread>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
 #include "http/client.h"
+#include "http/connection_check.h"
 #include "http/server.h"
 #include "soak/guarantee_oracle.h"
 #include "soak/loopback_proxy.h"
@@ -75,6 +78,39 @@
   void (*Record)(History &);
 };
 
+// Ends a run of a repeated request by a crash, or lets it run again.
+void deadlyRuns(History &H, std::initializer_list<int64_t> CrashMs,
+                std::initializer_list<int64_t> LateMs) {
+  H.Call = {"r1", CallKind::Read, 0, "/read/x", "dead events=1", true};
+  H.Oracle.onSent(at(0), H.Call);
+  for (const int64_t Ms : CrashMs) {
+    H.Oracle.onRun(H.run("u", Ms));
+    H.Oracle.onRunEnd(at(Ms + 1), "r1", "u", RunEnd::Crashed);
+  }
+  for (const int64_t Ms : LateMs) {
+    H.Oracle.onRun(H.run("u", Ms));
+    H.Oracle.onRunEnd(at(Ms + 1), "r1", "u", RunEnd::Crashed);
+  }
+  H.answered(H.refusal(503));
+}
+
+// Requests at an upstream that names a limit of one a second, within a window
+// that begins after MsAfter.
+void limitedArrivals(History &H, int64_t MsAfter, int Count) {
+  H.Oracle.onLimit(at(0), "u", 1);
+  for (int I = 0; I < Count; ++I) {
+    H.Call = {"r" + std::to_string(I), CallKind::Read, 0, "/read/x", "b"};
+    H.Oracle.onSent(at(0), H.Call);
+    RunRecord R = H.run("u", MsAfter + I);
+    R.RequestId = H.Call.Id;
+    H.Oracle.onRun(R);
+    ObservedAnswer A = H.answer(200, "done b");
+    A.RequestId = H.Call.Id;
+    H.Oracle.onAnswer(at(MsAfter + 100), H.Call.Id, A);
+  }
+  H.Oracle.onLimit(at(9000), "u", 0);
+}
+
 const OracleCase OracleCases[] = {
     {"served", "",
      [](History &H) {
@@ -82,6 +118,31 @@
        H.Oracle.onRun(H.run());
        H.answered(H.answer(200, "done r1 events=2"));
      }},
+    {"a deadly request that runs three times more", "",
+     [](History &H) {
+       deadlyRuns(H, {0, 10, 20}, {4000, 5000, 6000});
+     }},
+    {"a deadly request that runs on soon after its third crash", "",
+     [](History &H) {
+       deadlyRuns(H, {0, 10, 20}, {100, 200, 300, 400, 500});
+     }},
+    {"a deadly request that goes on running", "BUDGET",
+     [](History &H) {
+       deadlyRuns(H, {0, 10, 20}, {4000, 5000, 6000, 7000});
+     }},
+    {"a sound request that is quarantined", "BUDGET",
+     [](History &H) {
+       H.sent(CallKind::Read);
+       ObservedAnswer A = H.refusal(503);
+       A.Body = "quarantined\n";
+       H.answered(A);
+     }},
+    {"as many requests as a limit allows", "",
+     [](History &H) { limitedArrivals(H, 4000, 11); }},
+    {"more requests than a limit allows, before it is known", "",
+     [](History &H) { limitedArrivals(H, 1000, 20); }},
+    {"more requests than a limit allows", "LIMIT",
+     [](History &H) { limitedArrivals(H, 4000, 12); }},
     {"served without a run", "MIXED",
      [](History &H) {
        H.sent(CallKind::Once);
@@ -471,3 +532,37 @@
   boost::asio::post(Io, [&] { Io.stop(); });
   Thread.join();
 }
+
+TEST_CASE("a link refuses connections while its target does") {
+  boost::asio::io_context Io{1};
+  const http::Endpoint Target{"127.0.0.1",
+                              static_cast<uint16_t>(testing::freePort())};
+  const http::Endpoint ProxyAddress{"127.0.0.1",
+                                    static_cast<uint16_t>(testing::freePort())};
+  LoopbackProxy Proxy;
+  const auto Start = [&] {
+    return std::make_unique<http::Server>(
+        Io, Target, http::ServerOptions(),
+        [](const http::Request &, const std::shared_ptr<http::Responder> &A) {
+          A->respond(200, {}, "");
+        });
+  };
+  auto Server = Start();
+  Proxy.addLink(ProxyAddress, Target, true);
+  const auto Check = [&] {
+    std::optional<http::ConnectionCheck> Result;
+    http::checkConnection(Io, ProxyAddress, std::chrono::seconds(5),
+                          [&](http::ConnectionCheck R) { Result = R; });
+    Io.restart();
+    while (!Result)
+      Io.run_one_for(milliseconds(20));
+    return *Result;
+  };
+  CHECK(Check() == http::ConnectionCheck::Accepted);
+  Server.reset();
+  CHECK(testing::eventually(
+      [&] { return Check() == http::ConnectionCheck::Refused; }, 10));
+  Server = Start();
+  CHECK(testing::eventually(
+      [&] { return Check() == http::ConnectionCheck::Accepted; }, 10));
+}
