--- a/catalog/store_revision.h
+++ b/catalog/store_revision.h
@@ -8,6 +8,7 @@
 #include <compare>
 #include <cstdint>
 #include <string>
+#include <tuple>
 
 namespace goldcrestlink {
 
@@ -18,7 +19,10 @@
   uint64_t Era = 0;
   uint64_t Number = 0;
 
-  auto operator<=>(const StoreRevision &) const = default;
+  bool operator==(const StoreRevision &) const = default;
+  std::strong_ordering operator<=>(const StoreRevision &Other) const {
+    return std::tie(Era, Number) <=> std::tie(Other.Era, Other.Number);
+  }
   /// "ERA.NUMBER", for logs.
   std::string text() const {
     return std::to_string(Era) + "." + std::to_string(Number);
