--- a/testing/store_restore_test.cc
+++ b/testing/store_restore_test.cc
@@ -71,6 +71,21 @@
   }
 }
 
+TEST_CASE("a change below the revision of an old watch is not missed") {
+  Restored System;
+  System.raiseRevisions();
+  const uint64_t Watched = System.Platform.storeRevision();
+  // The store refuses the entries until it has given out as many revisions as
+  // before.
+  System.Platform.setStoreDown(true);
+  System.Platform.restoreStore(CopyAge);
+  System.Platform.drain("p");
+  for (int Version = 20; System.Platform.storeRevision() <= Watched; ++Version)
+    System.Platform.release("a9", Version);
+  System.Platform.setStoreDown(false);
+  CHECK_FALSE(System.getsRequests("p", "/read/x"));
+}
+
 TEST_CASE("what was in force before the store was restored stays in force") {
   Restored System;
   System.raiseRevisions();
