--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -31,36 +31,6 @@
 constexpr size_t MaxQueuedCalls = 256;
 } // namespace
 
-std::string_view endReasonName(EndReason Reason) {
-  switch (Reason) {
-  case EndReason::NoConfig:
-    return "no_config";
-  case EndReason::NoRoute:
-    return "no_route";
-  case EndReason::BadRequest:
-    return "bad_request";
-  case EndReason::NoUpstream:
-    return "no_upstream";
-  case EndReason::Overloaded:
-    return "overloaded";
-  case EndReason::NotAccepted:
-    return "not_accepted";
-  case EndReason::Broken:
-    return "broken";
-  case EndReason::TimedOut:
-    return "timed_out";
-  case EndReason::BadAnswer:
-    return "bad_answer";
-  case EndReason::Quarantined:
-    return "quarantined";
-  case EndReason::Suspect:
-    return "suspect";
-  case EndReason::TooMany:
-    return "too_many";
-  }
-  return "unknown";
-}
-
 Forwarder::Forwarder(Options O, ForwardPort &InPort, uint64_t Seed)
     : Opts(std::move(O)), Port(InPort), Rand(Seed),
       NextAdmissionId(1 + (Seed & AdmissionIdStartMask)),
--- /dev/null
+++ b/forward/forwarder_log.cc
@@ -0,0 +1,72 @@
+// The part of Forwarder that describes calls and their ends in log lines.
+#include "forward/forwarder.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace goldcrestlink::forward {
+
+namespace {
+// Parts of a prompt in a log line.
+constexpr size_t MaxLoggedParts = 8;
+} // namespace
+
+std::string_view endReasonName(EndReason Reason) {
+  switch (Reason) {
+  case EndReason::NoConfig:
+    return "no_config";
+  case EndReason::NoRoute:
+    return "no_route";
+  case EndReason::BadRequest:
+    return "bad_request";
+  case EndReason::NoUpstream:
+    return "no_upstream";
+  case EndReason::Overloaded:
+    return "overloaded";
+  case EndReason::NotAccepted:
+    return "not_accepted";
+  case EndReason::Broken:
+    return "broken";
+  case EndReason::TimedOut:
+    return "timed_out";
+  case EndReason::BadAnswer:
+    return "bad_answer";
+  case EndReason::Quarantined:
+    return "quarantined";
+  case EndReason::Suspect:
+    return "suspect";
+  case EndReason::TooMany:
+    return "too_many";
+  }
+  return "unknown";
+}
+
+std::string Forwarder::describe(const ActiveCall &Call) const {
+  std::string Out = "id=" + Call.Request.RequestId +
+                    " route=" + Call.RouteName +
+                    " rank=" + std::to_string(Call.Rank);
+  if (Call.IsEngine)
+    Out += " model=" + Call.Request.Inference.Model +
+           " adapter=" + Call.Request.Inference.Adapter +
+           " prompt=" + std::to_string(Call.Request.Inference.PromptTokens);
+  if (!Call.Upstream.Id.empty())
+    Out += " upstream=" + Call.Upstream.Id;
+  return Out;
+}
+
+std::string Forwarder::describeContent(const ActiveCall &Call) const {
+  const std::vector<uint64_t> &Parts = Call.Request.Inference.SharedParts;
+  char Content[32];
+  std::snprintf(Content, sizeof(Content), " content=%016llx",
+                static_cast<unsigned long long>(Call.Traits.back().Hash));
+  std::string Out = Content;
+  for (size_t I = 0; I < std::min(Parts.size(), MaxLoggedParts); ++I) {
+    char Text[32];
+    std::snprintf(Text, sizeof(Text), "%s%08llx", I == 0 ? " parts=" : ",",
+                  static_cast<unsigned long long>(Parts[I]));
+    Out += Text;
+  }
+  return Out;
+}
+
+} // namespace goldcrestlink::forward
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -7,7 +7,6 @@
 // service's retry allowance. Work per event is constant, and each timer is
 // examined once.
 #include <algorithm>
-#include <cstdio>
 
 #include "forward/forwarder.h"
 
@@ -29,8 +28,6 @@
 constexpr size_t SmallAnswer = 64 * 1024;
 // Between removals of expired suspicions and verdicts.
 constexpr Duration CrashExpiryInterval = std::chrono::seconds(1);
-// Parts of a prompt in a log line.
-constexpr size_t MaxLoggedParts = 8;
 
 bool isSuccess(unsigned Status) { return Status >= 200 && Status < 300; }
 
@@ -349,34 +346,6 @@
   Calls.erase(Call.Id);
 }
 
-std::string Forwarder::describe(const ActiveCall &Call) const {
-  std::string Out = "id=" + Call.Request.RequestId +
-                    " route=" + Call.RouteName +
-                    " rank=" + std::to_string(Call.Rank);
-  if (Call.IsEngine)
-    Out += " model=" + Call.Request.Inference.Model +
-           " adapter=" + Call.Request.Inference.Adapter +
-           " prompt=" + std::to_string(Call.Request.Inference.PromptTokens);
-  if (!Call.Upstream.Id.empty())
-    Out += " upstream=" + Call.Upstream.Id;
-  return Out;
-}
-
-std::string Forwarder::describeContent(const ActiveCall &Call) const {
-  const std::vector<uint64_t> &Parts = Call.Request.Inference.SharedParts;
-  char Content[32];
-  std::snprintf(Content, sizeof(Content), " content=%016llx",
-                static_cast<unsigned long long>(Call.Traits.back().Hash));
-  std::string Out = Content;
-  for (size_t I = 0; I < std::min(Parts.size(), MaxLoggedParts); ++I) {
-    char Text[32];
-    std::snprintf(Text, sizeof(Text), "%s%08llx", I == 0 ? " parts=" : ",",
-                  static_cast<unsigned long long>(Parts[I]));
-    Out += Text;
-  }
-  return Out;
-}
-
 // Time.
 
 void Forwarder::schedule(Time When, uint64_t Id) { Timers.push({When, Id}); }
