--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -195,6 +195,18 @@
     Machine.onDone(at(Ms), S);
   }
 
+  /// The first send of a resumable stream breaks after event 1, and the stream
+  /// is sent to another upstream.
+  void breakAfterEvent1() {
+    call("/resume/x");
+    replyAdmission(2);
+    const SendId First = Port.Sends.back().Id;
+    Machine.onHead(at(5), First, head(200));
+    Machine.onData(at(6), First, "id: 1\n\n");
+    failSend(10);
+    replyAdmission(12);
+  }
+
   void failSend(int64_t Ms, SendError E = SendError::Broken) {
     Machine.onError(at(Ms), Port.Sends.back().Id, E, "reset");
   }
@@ -412,6 +424,29 @@
         2 * Opts.maxBufferedByAll() / Opts.maxBuffered());
 }
 
+TEST_CASE("a resumed stream whose connection ends before its first event is "
+          "not complete") {
+  struct EndRow {
+    const char *Body;
+    bool EndsWithConnection;
+    bool Aborted;
+  };
+  for (const EndRow &R :
+       {EndRow{"", true, true}, EndRow{"", false, false},
+        EndRow{"id: 2\nda", true, true}, EndRow{"id: 2\n\n", true, false}}) {
+    CAPTURE(std::string(R.Body));
+    CAPTURE(R.EndsWithConnection);
+    Entry E;
+    E.breakAfterEvent1();
+    AnswerHead H = Entry::head(200);
+    H.EndsWithConnection = R.EndsWithConnection;
+    E.answer(20, H, R.Body);
+    CHECK(E.Port.Aborted == R.Aborted);
+    CHECK(E.Port.Ends == 1);
+    CHECK(E.Port.Body.find("da") == std::string::npos);
+  }
+}
+
 TEST_CASE("Retry-After of a refusal is at most a third of the time left") {
   Entry E;
   E.call("/stream/x", 900);
