A resumed stream needs an event of its own to be complete

Callers saw: a stream that broke off after some events could end as complete although the upstream that was to go on with it closed its connection before its first event.

Cause: whether an answer without length and chunks had brought anything was asked of the bytes of the whole call, not of the present send. Class of fault: the end of a connection taken for the end of a message.

Fix: StreamPosition counts events per send. A framed answer without events still ends the stream, since its framing says so.

--- a/forward/event_splitter.cc
+++ b/forward/event_splitter.cc
@@ -6,7 +6,6 @@
 namespace goldcrestlink::forward {
 
 std::string EventSplitter::feed(std::string_view Bytes) {
-  HasBytes |= !Bytes.empty();
   Partial.append(Bytes);
   size_t End = std::string::npos;
   const size_t Lf = Partial.rfind("\n\n");
--- a/forward/event_splitter.h
+++ b/forward/event_splitter.h
@@ -21,8 +21,6 @@
   const std::string &lastId() const { return LastId; }
   /// Number of bytes held of an incomplete event.
   size_t pending() const { return Partial.size(); }
-  /// True if no byte has been fed.
-  bool isEmpty() const { return !HasBytes; }
   /// Discards an incomplete event, whose upstream has failed.
   void dropPartial() { Partial.clear(); }
 
@@ -31,7 +29,6 @@
 
   std::string Partial;
   std::string LastId;
-  bool HasBytes = false;
 };
 
 } // namespace goldcrestlink::forward
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -27,10 +27,10 @@
 #include "forward/crash_attribution.h"
 #include "forward/crash_detector.h"
 #include "forward/engine_ranker.h"
-#include "forward/event_splitter.h"
 #include "forward/forward_port.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
+#include "forward/stream_position.h"
 #include "forward/upstream_limits.h"
 
 namespace goldcrestlink::forward {
@@ -193,7 +193,7 @@
     // The request may be the cause of crashes; at most one such call is in
     // progress.
     bool Isolated = false;
-    EventSplitter Events;
+    StreamPosition Position;
     std::string Buffered;
     // An upstream's own failure, forwarded if no retry succeeds.
     bool HasFailure = false;
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -48,7 +48,7 @@
   Call.HasHead = false;
   Call.HasOutput = false;
   Call.Buffered.clear();
-  Call.Events.dropPartial();
+  Call.Position.beginSend();
   Call.TriedUpstreams.insert(Call.Upstream.Id);
   ++Call.Sends;
   if (!Call.IsEngine) {
@@ -61,7 +61,7 @@
   SendOpts.Version = Version;
   SendOpts.Rank = Call.Rank;
   SendOpts.IsEngine = Call.IsEngine;
-  SendOpts.AfterEvent = Call.Events.lastId();
+  SendOpts.AfterEvent = Call.Position.lastId();
   Port.log(LogClass::Routine,
            "send " + describe(Call) + " send=" + std::to_string(Call.Sends) +
                " version=" + std::to_string(Version) + " waited_ms=" +
@@ -139,8 +139,8 @@
     finishSend(Now, *Call, true);
     return onBroken(Now, *Call, EndReason::BadAnswer);
   }
-  std::string Complete = Call->Events.feed(Part);
-  if (Call->Events.pending() > Opts.maxEventBytes()) {
+  std::string Complete = Call->Position.feed(Part);
+  if (Call->Position.pending() > Opts.maxEventBytes()) {
     Port.cancelSend(Send);
     finishSend(Now, *Call, true);
     return onBroken(Now, *Call, EndReason::BadAnswer);
@@ -169,8 +169,7 @@
 bool Forwarder::isBrokenOff(const ActiveCall &Call) const {
   if (!isSuccess(Call.Head.Status) || !Call.Head.EventStream)
     return false;
-  return Call.Events.pending() > 0 ||
-         (Call.Head.EndsWithConnection && Call.Events.isEmpty());
+  return Call.Position.endsEarly(Call.Head.EndsWithConnection);
 }
 
 void Forwarder::onDone(Time Now, SendId Send) {
