Forward only events that continue the stream

Callers could see: events missing, twice or going back after a stream was resumed, and in the midst of a stream any text that an upstream wrote there and ended with an empty line, such as an error message or the head of another answer.

Cause: nothing compared the events of a send with those before; the caller's own Last-Event-Id was passed on, but not checked either.

Fix: StreamPosition requires the next number. Where it does not follow, the send counts as broken: the stream goes on elsewhere or is cut, after whole events of its own. A stream that counts otherwise within one send is checked for rising numbers only.

--- a/forward/call.h
+++ b/forward/call.h
@@ -39,6 +39,9 @@
   /// Header fields to forward, without those that only the system may set.
   http::Headers Fields;
   std::string Body;
+  /// Id of the last event that the caller has of a stream that it takes up;
+  /// empty if it wants the stream from its start.
+  std::string AfterEvent;
   /// How long the caller will wait; zero if the caller did not state it.
   Duration TimeLeft{};
   InferenceParams Inference;
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -154,6 +154,8 @@
   Call.Deadline = Now + std::min(TimeLeft, Route->Timeout);
   const ServiceSpec *Spec = CurrentCatalog->service(Call.Service);
   Call.IsEngine = Spec && Spec->IsEngine;
+  if (Call.Streaming)
+    Call.Position.startAfter(Request.AfterEvent);
   Call.Request = std::move(Request);
   Call.Traits = std::move(Traits);
   Allowances.try_emplace(Call.Service, Opts.allowance())
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -145,15 +145,19 @@
     finishSend(Now, *Call, true);
     return onBroken(Now, *Call, EndReason::BadAnswer);
   }
-  if (Complete.empty())
-    return;
-  noteOutput(Now, *Call);
-  Call->CurrentStage = Stage::Streaming;
-  if (!Call->HeadForwarded) {
-    Call->HeadForwarded = true;
-    Port.answerBegin(Call->Id, Call->Head.Status, Call->Head.Fields);
+  if (!Complete.empty()) {
+    noteOutput(Now, *Call);
+    Call->CurrentStage = Stage::Streaming;
+    if (!Call->HeadForwarded) {
+      Call->HeadForwarded = true;
+      Port.answerBegin(Call->Id, Call->Head.Status, Call->Head.Fields);
+    }
+    Port.answerData(Call->Id, std::move(Complete));
+  }
+  if (Call->Position.isInterrupted()) {
+    Port.cancelSend(Send);
+    onError(Now, Send, SendError::Broken, "event does not continue the stream");
   }
-  Port.answerData(Call->Id, std::move(Complete));
 }
 
 bool Forwarder::fitsBuffers(const ActiveCall &Call) const {
