HTTP client: read on after interim responses

A 100 or 103 of an upstream was taken for its answer: the caller got "100" as a final status, and the answer itself was left for the next request on the kept connection. The rows of http_test failed before ("100:", "103:", "101:" instead of the answer or "broken"). A change of protocol, and more than 16 interim responses, fail the call.

--- a/http/client.cc
+++ b/http/client.cc
@@ -55,6 +55,11 @@
 // since the peer may close the connection just as a request is sent on it.
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(700);
 
+// Lower status codes are of interim responses, which precede the final one.
+constexpr unsigned FirstFinalStatus = 200;
+// A peer that sends more of them for one request is faulty.
+constexpr unsigned MaxInterimResponses = 16;
+
 void setSocketOptions(Tcp::socket &Socket) {
   const int Handle = Socket.native_handle();
   const auto Set = [&](int Level, int Name, int Value) {
@@ -206,14 +211,14 @@
                              errorKind(Error) == CallError::Broken)
                            Self->failBeforeHead(Error, true);
                        });
-    Parser.emplace();
-    Parser->body_limit(MaxBodyBytes);
-    if (Message.method() == bhttp::verb::head)
-      Parser->skip(true);
     readHead();
   }
 
   void readHead() {
+    Parser.emplace();
+    Parser->body_limit(MaxBodyBytes);
+    if (Message.method() == bhttp::verb::head)
+      Parser->skip(true);
     Stream->expires_after(toNanos(Options.readTimeout()));
     bhttp::async_read_header(
         *Stream, Buffer, *Parser,
@@ -223,6 +228,8 @@
             return;
           if (Error)
             return Self->failBeforeHead(Error, false);
+          if (Self->Parser->get().result_int() < FirstFinalStatus)
+            return Self->onInterimResponse();
           ResponseHead Head;
           Head.Status = Self->Parser->get().result_int();
           for (const auto &F : Self->Parser->get())
@@ -234,6 +241,15 @@
         });
   }
 
+  // The response to the request follows, except after a change of protocol,
+  // which no request asks for.
+  void onInterimResponse() {
+    if (Parser->get().result() == bhttp::status::switching_protocols ||
+        ++InterimResponses > MaxInterimResponses)
+      return fail(CallError::Broken, bhttp::error::bad_status);
+    readHead();
+  }
+
   void processBody() {
     if (Finished)
       return;
@@ -336,6 +352,7 @@
   // Increases with each connection of this call. Handlers of an earlier
   // connection compare it and do nothing.
   unsigned Attempt = 0;
+  unsigned InterimResponses = 0;
   bool RequestWritten = false;
   bool Reused = false;
   bool Finished = false;
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -93,6 +93,14 @@
        "200:ab"},
       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
        "broken"},
+      {"HTTP/1.1 100 Continue\r\n\r\n"
+       "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+       "200:ab"},
+      {"HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n"
+       "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+       "503:"},
+      {"HTTP/1.1 100 Continue\r\n\r\n", "broken"},
+      {"HTTP/1.1 101 Switching Protocols\r\n\r\nab", "broken"},
       {"HTTP/1.1 200", "broken"},
       {"nonsense\r\n\r\n", "broken"},
       {"", "broken"},
