HTTP server: no chunks for HTTP/1.0, and a reset for a response that is aborted

Callers of HTTP/1.0 got the chunks' sizes as part of a stream, and an aborted stream ended with an orderly close, which is the end of a response there. Now such a response ends with its connection, and one that is not complete with a reset.

--- a/http/server.cc
+++ b/http/server.cc
@@ -106,14 +106,20 @@
 
   void begin(unsigned Status, const Headers &Fields) override {
     bhttp::response<bhttp::empty_body> Response;
+    if (!Chunked)
+      KeepAlive = false;
     fillHead(Response, Status, Fields);
-    Response.chunked(true);
+    if (Chunked)
+      Response.chunked(true);
+    EndsWithConnection = !Chunked;
     enqueue(serialise(Response));
   }
 
   void data(std::string Part) override {
     if (Part.empty())
       return;
+    if (EndsWithConnection)
+      return enqueue(std::move(Part));
     char Size[20];
     const int Length =
         std::snprintf(Size, sizeof(Size), "%zx\r\n", Part.size());
@@ -125,12 +131,17 @@
 
   void end() override {
     ResponseComplete = true;
-    enqueue("0\r\n\r\n");
+    if (!EndsWithConnection)
+      return enqueue("0\r\n\r\n");
+    if (!Unsent.empty())
+      return;
+    OnDisconnect = nullptr;
+    close();
   }
 
   void abort() override {
     CloseAfterFlush = true;
-    if (Unsent.empty())
+    if (Unsent.empty() || EndsWithConnection)
       close();
   }
 
@@ -213,6 +224,8 @@
       return close();
     auto Message = Parser->release();
     KeepAlive = Message.keep_alive();
+    Chunked = Message.version() >= 11;
+    EndsWithConnection = false;
     Request Out;
     Out.Method = std::string(Message.method_string());
     Out.Target = std::string(Message.target());
@@ -325,7 +338,11 @@
       return;
     Closed = true;
     ErrorCode Ignored;
-    Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
+    // An orderly close would look like the end of such a response.
+    if (EndsWithConnection && !ResponseComplete)
+      Stream.socket().set_option(asio::socket_base::linger(true, 0), Ignored);
+    else
+      Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
     Stream.socket().close(Ignored);
     finishRequest();
     // Posted, not called here: the caller of data() or abort() may be in the
@@ -351,6 +368,10 @@
   // The complete response is queued or sent.
   bool ResponseComplete = false;
   bool CloseAfterFlush = false;
+  // The caller understands chunks.
+  bool Chunked = true;
+  // The response in progress has neither a length nor chunks.
+  bool EndsWithConnection = false;
   bool Closed = false;
 };
 
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -5,9 +5,11 @@
 #include <atomic>
 #include <thread>
 
+#include <boost/asio/buffers_iterator.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -243,6 +245,54 @@
   }
 }
 
+TEST_CASE("an aborted response does not look complete, whatever its framing") {
+  struct Row {
+    const char *Version;
+    bool Aborted;
+    const char *Body;
+    bool Reset;
+  };
+  for (const Row &R :
+       {Row{"1.1", false, "5\r\nfirst\r\n0\r\n\r\n", false},
+        Row{"1.1", true, "5\r\nfirst\r\n", false},
+        Row{"1.0", false, "first", false}, Row{"1.0", true, "first", true}}) {
+    CAPTURE(R.Version);
+    CAPTURE(R.Aborted);
+    asio::io_context Io;
+    std::shared_ptr<http::Responder> Running;
+    http::Server Server(Io, {"127.0.0.1", 0}, http::ServerOptions(),
+                        [&](http::Request, std::shared_ptr<http::Responder> X) {
+                          X->begin(200, {});
+                          X->data("first");
+                          Running = std::move(X);
+                        });
+    std::string Body;
+    boost::system::error_code End;
+    std::thread Caller([&] {
+      asio::io_context CallerIo;
+      Tcp::socket Socket(CallerIo);
+      Socket.connect({asio::ip::make_address("127.0.0.1"), Server.port()});
+      writeText(Socket, std::string("GET /a HTTP/") + R.Version +
+                            "\r\nHost: h\r\nConnection: close\r\n\r\n");
+      asio::streambuf Buffer;
+      asio::read_until(Socket, Buffer, "first");
+      asio::post(Io, [&] {
+        R.Aborted ? Running->abort() : Running->end();
+        Running.reset();
+      });
+      asio::read(Socket, Buffer, End);
+      Body.assign(asio::buffers_begin(Buffer.data()),
+                  asio::buffers_end(Buffer.data()));
+      Body.erase(0, Body.find("\r\n\r\n") + 4);
+      asio::post(Io, [&] { Io.stop(); });
+    });
+    Io.run();
+    Caller.join();
+    CHECK(Body == R.Body);
+    CHECK((End == asio::error::connection_reset) == R.Reset);
+  }
+}
+
 TEST_CASE(
     "after stopAccepting(), a connection closes once its response is sent") {
   asio::io_context Io;
