--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -5,9 +5,12 @@
 #include <fstream>
 #include <sstream>
 
+#include <boost/asio/io_context.hpp>
 #include <signal.h>
 #include <unistd.h>
 
+#include "testing/standin_support.h"
+
 namespace goldcrestlink::testing {
 
 namespace {
@@ -84,6 +87,68 @@
   }
 }
 
+uint64_t StreamResult::lastEvent() const {
+  const size_t End = Body.rfind("\n\n");
+  const size_t At = End == std::string::npos ? End : Body.rfind("id: ", End);
+  return At == std::string::npos
+             ? 0
+             : parseNumber(std::string_view(Body).substr(At + 4));
+}
+
+std::set<std::string> StreamResult::versions() const {
+  constexpr std::string_view Key = "software=";
+  std::set<std::string> Out;
+  for (size_t At = Body.find(Key); At != std::string::npos;
+       At = Body.find(Key, At + 1)) {
+    const size_t Begin = At + Key.size();
+    Out.insert(Body.substr(Begin, Body.find('\n', Begin) - Begin));
+  }
+  return Out;
+}
+
+StreamResult PlatformDeployment::stream(
+    size_t Entry, const StreamRequest &Wanted, size_t Events,
+    const std::function<void(const StreamResult &)> &OnEvents) {
+  StreamResult Out;
+  Out.RequestId = "s" + std::to_string(++LastId);
+  http::Request R;
+  R.Method = "POST";
+  R.Target = "/resume/x";
+  R.Body = "events=" + std::to_string(Wanted.Events);
+  R.Fields = {{"Host", "h"},
+              {"Request-Id", Out.RequestId},
+              {"Request-Deadline", "20000"},
+              {"Model", "m/" + Wanted.Adapter},
+              {"Token-Count", "100,20"}};
+  if (!Wanted.Resumes.empty())
+    R.Fields.push_back({"Resumes", Wanted.Resumes});
+  if (Wanted.AfterEvent > 0)
+    R.Fields.push_back({"Last-Event-Id", std::to_string(Wanted.AfterEvent)});
+  boost::asio::io_context Io;
+  http::Client Client(Io);
+  bool Called = false;
+  http::CallHandlers On;
+  On.OnHead = [&](const http::ResponseHead &Head) {
+    Out.Status = Head.Status;
+    Out.HasRetryAfter = !Head.header("Retry-After").empty();
+  };
+  On.OnData = [&](std::string Part) {
+    Out.Body += Part;
+    if (Called || !OnEvents || Out.lastEvent() < Wanted.AfterEvent + Events)
+      return;
+    Called = true;
+    OnEvents(Out);
+  };
+  On.OnDone = [&] { Out.Complete = true; };
+  const Time Begin = currentTime().Steady;
+  const auto Call =
+      Client.start(Entries[Entry], std::move(R),
+                   http::CallOptions().setFreshConnection(true), std::move(On));
+  Io.run();
+  Out.Took = currentTime().Steady - Begin;
+  return Out;
+}
+
 std::string PlatformDeployment::metric(const std::string &Host,
                                        const std::string &Name) const {
   http::Request R;
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -9,8 +9,10 @@
 
 #include <atomic>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,32 @@
 /// Longest wait of a test for a condition.
 constexpr double MaxWaitSeconds = 60;
 
+/// A request for a stream of the route /resume/.
+struct StreamRequest {
+  std::string Adapter = "a1";
+  size_t Events = 40;
+  /// To take a stream up: the id of the attempt that began it, and its last
+  /// event; empty and 0 to begin one.
+  std::string Resumes = {};
+  uint64_t AfterEvent = 0;
+};
+
+struct StreamResult {
+  std::string RequestId;
+  /// 0 if no head arrived.
+  unsigned Status = 0;
+  bool HasRetryAfter = false;
+  std::string Body;
+  /// The end of the answer was received.
+  bool Complete = false;
+  Duration Took{};
+
+  /// Number of the last complete event; 0 if there is none.
+  uint64_t lastEvent() const;
+  /// The software versions that made the events.
+  std::set<std::string> versions() const;
+};
+
 class PlatformDeployment {
 public:
   /// Engines are named "e0", "e1" and so on; plain upstreams "p", "p1" and so
@@ -38,6 +66,10 @@
                       const std::string &Adapter = "",
                       const std::string &Body = "b",
                       const std::string &Prompt = "");
+  /// Reads a stream and calls \p OnEvents once, when it has \p Events events.
+  StreamResult
+  stream(size_t Entry, const StreamRequest &Wanted, size_t Events = 0,
+         const std::function<void(const StreamResult &)> &OnEvents = {});
   /// The value of a metric of the process at \p Host; empty if it is not
   /// exported.
   std::string metric(const std::string &Host, const std::string &Name) const;
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -34,6 +34,9 @@
   Json Routes = {routeSpec("once", "non_idempotent", "plain"),
                  routeSpec("read", "idempotent", "plain"),
                  routeSpec("stream", "streaming", "engines")};
+  Json Resume = routeSpec("resume", "streaming", "engines");
+  Resume["can_resume"] = true;
+  Routes.push_back(Resume);
   if (Extra)
     Routes.push_back(routeSpec("extra", "idempotent", "plain"));
   const Json Model = {{"name", "m"},
@@ -65,7 +68,7 @@
   return {{"service", U.spec().Service},
           {"address", U.spec().Published.text()},
           {"zone", "z"},
-          {"version", "v1"},
+          {"version", U.softwareVersion()},
           {"slots", 6},
           {"state", U.draining() ? "draining" : "ready"},
           {"cold_left_ms", 0},
@@ -237,6 +240,14 @@
   onThread([&] { Impl->at(Name).setLimit(PerSecond); });
 }
 
+void PlatformStandIn::setSoftwareVersion(const std::string &Name,
+                                         const std::string &Version) {
+  onThread([&] {
+    Impl->at(Name).setSoftwareVersion(Version);
+    Impl->writeRecord(Impl->at(Name));
+  });
+}
+
 void PlatformStandIn::setDeadly(const std::string &Part,
                                 const std::string &Body) {
   onThread([&] {
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -35,8 +35,8 @@
 
   /// The address of the store.
   http::Endpoint store() const;
-  /// Writes a configuration of this version. It has the routes /once/, /read/
-  /// and /stream/ of host "h", and also /extra/ if \p Extra.
+  /// Writes a configuration of this version. It has the routes /once/, /read/,
+  /// /stream/ and /resume/ of host "h", and also /extra/ if \p Extra.
   void putConfig(int Version, bool Extra = false);
   /// Starts an engine and adds its record to the store. Precondition: the
   /// address is a loopback address.
@@ -69,6 +69,8 @@
   /// From now on the upstream's answers name this limit, in requests per
   /// second; empty: none.
   void setLimit(const std::string &Name, const std::string &PerSecond);
+  /// Sets the version of the upstream's software and writes its record.
+  void setSoftwareVersion(const std::string &Name, const std::string &Version);
   /// From now on upstreams crash on requests with this part in their prompts,
   /// or with a body that begins with \p Body, and start again later. Empty:
   /// none.
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -183,6 +183,9 @@
   Opened->RequestId = std::string(Request.header("Request-Id"));
   Opened->Adapter = Adapter;
   Opened->To = Responder;
+  Opened->Data = Request.path().starts_with("/resume/")
+                     ? "software=" + SoftwareVersion
+                     : Opened->RequestId;
   Opened->Last = requestedEvents(Request.Body);
   InUse.insert(Adapter);
   if (isDeadly(Request))
@@ -208,7 +211,7 @@
     endStream(*Open, RunEnd::Crashed);
     return Open->To->abort();
   }
-  Open->To->data("id: " + std::to_string(Next) + "\ndata: " + Open->RequestId +
+  Open->To->data("id: " + std::to_string(Next) + "\ndata: " + Open->Data +
                  "\n\n");
   runLater(Io, EventInterval, [this, Open, Next, StartedIn = Incarnation] {
     if (Incarnation == StartedIn)
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -129,6 +129,12 @@
   void setFault(UpstreamFault F) { Fault = F; }
   /// The limit that answers name, in requests per second; empty: none.
   void setLimit(std::string PerSecond) { Limit = std::move(PerSecond); }
+  /// The version of its software, as in its record and in the events of
+  /// streams that may be resumed.
+  void setSoftwareVersion(std::string Version) {
+    SoftwareVersion = std::move(Version);
+  }
+  const std::string &softwareVersion() const { return SoftwareVersion; }
   /// Sets when the store began to show the upstream as draining or removed;
   /// Time{} if it shows the upstream as ready.
   void setDraining(Time Since) { DrainingSince = Since; }
@@ -146,6 +152,8 @@
     std::string RequestId;
     std::string Adapter;
     ResponderPtr To;
+    /// Content of each event.
+    std::string Data;
     /// The number of the last event.
     uint64_t Last = 0;
     bool Ended = false;
@@ -185,6 +193,7 @@
   UpstreamTally Tally;
   UpstreamFault Fault = UpstreamFault::None;
   std::string Limit;
+  std::string SoftwareVersion = "v1";
   Time DrainingSince{};
   bool HasBaseModel = true;
   /// Incremented by each reset of the state; "born" in reports.
