Keep a stream at the software version that began it

Callers saw: text joined from two software versions of an engine, with nothing in the answer to show it, within one answer and when they took a broken stream up again, most of all after all entries had been killed.

Cause: the catalog did not hold the software version of an upstream, and an entry placed a retry or a take-up like a new request. Class of fault: a request that depends on an earlier one is placed without what ties it to that one.

Once a stream has an event, only upstreams of its service and version are candidates on every path. The origin is recorded with the first event, at the entry and at three sides chosen by the hash of the attempt, which outlive entries; an entry that does not know the origin of a take-up asks them. What is not known, or has no upstream any more, is refused at once.

--- a/catalog/types.h
+++ b/catalog/types.h
@@ -112,6 +112,9 @@
   std::string DataCentre;
   uint32_t Slots = 1;
   bool Draining = false;
+  /// Version of the upstream's software, not of weights; empty if it has not
+  /// stated one.
+  std::string SoftwareVersion;
 
   bool operator==(const UpstreamRecord &) const = default;
 };
--- a/daemon/catalog_codec.cc
+++ b/daemon/catalog_codec.cc
@@ -29,6 +29,7 @@
   Message.set_data_centre(Record->DataCentre);
   Message.set_slots(Record->Slots);
   Message.set_draining(Record->Draining);
+  Message.set_software_version(Record->SoftwareVersion);
 }
 
 void fillUpstream(wire::Beliefs::Upstream &Message,
@@ -55,6 +56,7 @@
   R.DataCentre = Message.data_centre();
   R.Slots = Message.slots();
   R.Draining = Message.draining();
+  R.SoftwareVersion = Message.software_version();
   return R;
 }
 
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -19,8 +19,10 @@
 #include "daemon/catalog_exchange.h"
 #include "daemon/crash_codec.h"
 #include "daemon/forward_metrics.h"
+#include "daemon/origin_codec.h"
 #include "daemon/side_connection.h"
 #include "forward/forwarder.h"
+#include "forward/origin_keepers.h"
 #include "http/client.h"
 #include "http/connection_check.h"
 #include "http/server.h"
@@ -45,6 +47,8 @@
 // Sides to which a crash report or verdict is sent; each passes it to the other
 // entries. One of them may be down or cut off.
 constexpr size_t CrashRelays = 3;
+// Sides that keep the origin of a stream. Two of them may be lost at once.
+constexpr size_t OriginKeepers = 3;
 // Long enough that a call to a silent upstream is ended by its own deadline.
 constexpr Duration ReadTimeout = std::chrono::minutes(10);
 
@@ -241,6 +245,43 @@
     sideOf(Upstream).Connection->sendOrQueue(E);
   }
 
+  void recordOrigin(uint64_t Attempt,
+                    const forward::StreamOrigin &Origin) override {
+    Metrics.count("stream_origins_total");
+    for (const std::string &Address :
+         forward::originKeepers(Attempt, SideAddresses, OriginKeepers)) {
+      wire::Envelope E = encodeOrigin(Attempt, Origin);
+      Sides[Address].Connection->sendOrQueue(E);
+    }
+  }
+
+  size_t requestOrigin(const forward::OriginQuery &Query,
+                       size_t Keepers) override {
+    Metrics.count("origin_queries_total");
+    const std::vector<std::string> Asked =
+        forward::originKeepers(Query.Attempt, SideAddresses, Keepers);
+    for (const std::string &Address : Asked) {
+      wire::Envelope E = encodeOriginQuery(Query);
+      Sides[Address].Connection->sendOrQueue(E);
+    }
+    return Asked.size();
+  }
+
+  // Hands the origins that this entry knows to sides that now keep them.
+  void setSides(std::vector<std::string> Addresses) {
+    if (Addresses == SideAddresses)
+      return;
+    Forwarder.origins().forEach(
+        now(), [&](uint64_t Attempt, const forward::StreamOrigin &Origin) {
+          for (const std::string &Address : forward::addedKeepers(
+                   Attempt, SideAddresses, Addresses, OriginKeepers)) {
+            wire::Envelope E = encodeOrigin(Attempt, Origin);
+            Sides[Address].Connection->sendOrQueue(E);
+          }
+        });
+    SideAddresses = std::move(Addresses);
+  }
+
   void probe(const UpstreamRecord &Upstream) override {
     Metrics.count("crash_probes_total");
     http::checkConnection(
@@ -422,6 +463,13 @@
       const wire::AdmissionReply &Reply = Message.admission_reply();
       return Forwarder.onAdmission(Now, Id, Reply.id(), decodeReply(Reply));
     }
+    if (Message.has_stream_origin_reply()) {
+      const wire::StreamOriginReply &Reply = Message.stream_origin_reply();
+      return Forwarder.onOrigin(
+          Now, decodeOriginQuery(Reply.query()),
+          Reply.has_origin() ? std::optional(decodeOrigin(Reply.origin()))
+                             : std::nullopt);
+    }
     if (Message.has_engine_load()) {
       const std::string &Named = Message.engine_load().upstream();
       Forwarder.onLoad(Now, Named.empty() ? Id : Named,
@@ -476,6 +524,7 @@
     std::erase_if(Sides, [&](const auto &Item) {
       return !Addresses.contains(Item.first);
     });
+    setSides({Addresses.begin(), Addresses.end()});
     Forwarder.onCatalog(now(), std::move(NewCatalog));
     sendDigests();
   }
@@ -492,6 +541,8 @@
   wire::RouterSocket PeerSocket;
   std::shared_ptr<const Catalog> KnownCatalog;
   std::unordered_map<std::string, Side> Sides;
+  // Of the sides of all engines in the catalog, in ascending order.
+  std::vector<std::string> SideAddresses;
   std::map<std::string, std::unique_ptr<SideConnection>> PeerConnections;
   size_t EntryCount = InitialEntryCount;
   Time NextDigest{};
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -21,6 +21,7 @@
 #include "daemon/admission_codec.h"
 #include "daemon/catalog_exchange.h"
 #include "daemon/crash_relay.h"
+#include "daemon/origin_codec.h"
 #include "daemon/process_control.h"
 #include "http/client.h"
 #include "platform/engine_control.h"
@@ -111,7 +112,8 @@
                           Message.admission_end().first_token_us())));
     else if (Message.has_upstream_limit())
       onLimit(Now, Message.upstream_limit());
-    else if (!onCrashMessage(Now, Peer, Message))
+    else if (!onOriginMessage(Now, Peer, Message) &&
+             !onCrashMessage(Now, Peer, Message))
       onCatalogMessage(Now, Peer, Message);
     if (IsNew)
       sendLoad(Peer, Admission.load(Now));
@@ -125,6 +127,24 @@
       Admission.onRequestLimit(Now, decodeLimit(Message));
   }
 
+  // Traffic thread: origins of streams.
+
+  bool onOriginMessage(Time Now, const std::string &From,
+                       const wire::Envelope &Message) {
+    if (Message.has_stream_origin()) {
+      Origins.record(Now, Message.stream_origin().attempt(),
+                     decodeOrigin(Message.stream_origin()));
+      return true;
+    }
+    if (!Message.has_stream_origin_query())
+      return false;
+    const wire::StreamOriginQuery &Query = Message.stream_origin_query();
+    wire::Envelope E =
+        encodeOriginReply(Query, Origins.find(Now, Query.attempt()));
+    send(From, E);
+    return true;
+  }
+
   // Traffic thread: crash reports and quarantine verdicts.
 
   bool onCrashMessage(Time Now, const std::string &From,
@@ -386,6 +406,7 @@
            "\ngoldcrestlink_granted " + std::to_string(Admission.granted()) +
            "\ngoldcrestlink_entries " + std::to_string(LastSeen.size()) +
            "\ngoldcrestlink_verdicts " + std::to_string(Relay.verdicts()) +
+           "\ngoldcrestlink_stream_origins " + std::to_string(Origins.size()) +
            "\n";
   }
 
@@ -404,6 +425,7 @@
   Catalog KnownCatalog;
   CatalogExchange Exchange;
   CrashRelay Relay;
+  forward::StreamOrigins Origins{forward::StreamOrigins::Options()};
   EngineLoad LastLoad;
   Time LoadSentAt{};
   std::string HealthPath;
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -140,6 +140,7 @@
   Log("upstream id=" + Object.Name + " state=" +
       (Record ? (Record->Draining ? "draining" : "ready")
               : (Object.Removed ? "removed" : "unreadable")) +
+      (Record ? " software=" + Record->SoftwareVersion : "") +
       " revision=" + Object.Revision.text());
   scheduleNotification();
   scheduleDeferredCheck();
--- a/forward/call.h
+++ b/forward/call.h
@@ -42,6 +42,9 @@
   /// Id of the last event that the caller has of a stream that it takes up;
   /// empty if it wants the stream from its start.
   std::string AfterEvent;
+  /// With AfterEvent: RequestId of the caller's attempt that brought the first
+  /// event of the stream.
+  std::string Resumes;
   /// How long the caller will wait; zero if the caller did not state it.
   Duration TimeLeft{};
   InferenceParams Inference;
--- a/forward/forward_port.h
+++ b/forward/forward_port.h
@@ -11,6 +11,7 @@
 #include "base/log_class.h"
 #include "forward/call.h"
 #include "forward/crash_attribution.h"
+#include "forward/stream_origins.h"
 
 namespace goldcrestlink::forward {
 
@@ -35,7 +36,12 @@
   /// The request has a trait that crashes upstreams.
   Quarantined,
   /// The request may crash its upstream, as may another one in progress.
-  Suspect
+  Suspect,
+  /// It is not known which software version began the stream that the caller
+  /// takes up.
+  UnknownOrigin,
+  /// No upstream of the software version that began the stream can be used.
+  OriginGone
 };
 
 /// Name of \p Reason in logs, metrics and answers. Thread-safe.
@@ -51,6 +57,15 @@
   uint32_t Number = 0;
 };
 
+/// A question for the origin of the stream that a caller takes up.
+struct OriginQuery {
+  uint64_t Call = 0;
+  /// From 1 within the call; the sides are asked again after a time-out.
+  uint32_t Round = 0;
+  /// Hash of the id of the attempt that began the stream.
+  uint64_t Attempt = 0;
+};
+
 /// The actions that a Forwarder requests from the I/O layer. The I/O layer
 /// drops answers to callers that have disconnected.
 class ForwardPort {
@@ -94,6 +109,12 @@
   /// Checks whether \p Upstream accepts connections; the result goes to
   /// Forwarder::onProbe().
   virtual void probe(const UpstreamRecord &Upstream) = 0;
+  /// Passes the origin of the stream that \p Attempt (a hash) began to the
+  /// sides that keep it.
+  virtual void recordOrigin(uint64_t Attempt, const StreamOrigin &Origin) = 0;
+  /// Asks \p Keepers sides for the origin, or as many as there are; their
+  /// answers go to Forwarder::onOrigin(). Returns the number of sides asked.
+  virtual size_t requestOrigin(const OriginQuery &Query, size_t Keepers) = 0;
   /// Passes a crash that this entry has observed to the other entries.
   virtual void shareCrash(const CrashReport &Report) = 0;
   /// Informs the other entries of recent output.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -55,7 +55,7 @@
   for (const auto &[Id, Call] : Calls)
     if ((Call.CurrentStage == Stage::AdmissionRequested ||
          Call.CurrentStage == Stage::WaitingAtSide) &&
-        !isUsable(Call.Upstream.Id))
+        !canSend(Call))
       ToMove.push_back(Id);
   for (const uint64_t Id : ToMove) {
     ActiveCall &Call = Calls.at(Id);
@@ -78,6 +78,11 @@
   return It != CurrentCatalog->upstreams().end() && !It->second.Draining;
 }
 
+bool Forwarder::canSend(const ActiveCall &Call) const {
+  return isUsable(Call.Upstream.Id) &&
+         mayContinue(Call, CurrentCatalog->upstreams().at(Call.Upstream.Id));
+}
+
 void Forwarder::onLoad(Time Now, const std::string &UpstreamId,
                        const EngineLoad &Load) {
   Engines.onLoad(Now, UpstreamId, Load);
@@ -152,22 +157,24 @@
                                 ? Request.TimeLeft
                                 : Opts.defaultTimeLeft();
   Call.Deadline = Now + std::min(TimeLeft, Route->Timeout);
-  const ServiceSpec *Spec = CurrentCatalog->service(Call.Service);
-  Call.IsEngine = Spec && Spec->IsEngine;
   if (Call.Streaming)
     Call.Position.startAfter(Request.AfterEvent);
   Call.Request = std::move(Request);
   Call.Traits = std::move(Traits);
-  Allowances.try_emplace(Call.Service, Opts.allowance())
-      .first->second.onRequest(Now);
   ActiveCall &Placed = Calls.emplace(Id, std::move(Call)).first->second;
   schedule(Placed.Deadline, Id);
-  if (Placed.IsEngine) {
-    Engines.onDemand(Now, requirementsOf(Placed));
-    placeOnEngine(Now, Placed);
-  } else {
-    placeOnService(Now, Placed);
-  }
+  takesUp(Placed) ? findOrigin(Now, Placed) : place(Now, Placed);
+}
+
+void Forwarder::place(Time Now, ActiveCall &Call) {
+  const ServiceSpec *Spec = CurrentCatalog->service(Call.Service);
+  Call.IsEngine = Spec && Spec->IsEngine;
+  Allowances.try_emplace(Call.Service, Opts.allowance())
+      .first->second.onRequest(Now);
+  if (!Call.IsEngine)
+    return placeOnService(Now, Call);
+  Engines.onDemand(Now, requirementsOf(Call));
+  placeOnEngine(Now, Call);
 }
 
 void Forwarder::onCallerGone(Time Now, uint64_t Id) {
@@ -193,11 +200,10 @@
     return sendTo(Now, Call, 0);
   }
   std::deque<uint64_t> &Queue = Queues[Call.Service];
-  if (upstreamsOf(Call.Service).empty() || Call.Sends > 0 ||
-      Queue.size() >= MaxQueuedCalls)
-    return fail(Now, Call,
-                upstreamsOf(Call.Service).empty() ? EndReason::NoUpstream
-                                                  : EndReason::Overloaded);
+  const bool HasCandidates = !candidatesFor(Call).empty();
+  if (!HasCandidates || Call.Sends > 0 || Queue.size() >= MaxQueuedCalls)
+    return HasCandidates ? fail(Now, Call, EndReason::Overloaded)
+                         : failWithoutUpstream(Now, Call);
   const auto MaxQueueTime = Duration(static_cast<int64_t>(
       static_cast<double>(Call.Objective.count()) * Opts.maxQueueShare()));
   if (const Duration Wait = limitWait(Call.Service, Queue.size());
@@ -216,17 +222,22 @@
   if (Found == Queues.end())
     return;
   std::deque<uint64_t> &Queue = Found->second;
-  while (!Queue.empty()) {
-    const auto It = Calls.find(Queue.front());
+  for (auto Next = Queue.begin(); Next != Queue.end();) {
+    const auto It = Calls.find(*Next);
     if (It == Calls.end() || It->second.CurrentStage != Stage::Queued) {
-      Queue.pop_front();
+      Next = Queue.erase(Next);
       continue;
     }
     ActiveCall &Call = It->second;
     const UpstreamRecord *U = choosePlain(Now, Call);
-    if (!U)
+    // A stream that needs a certain software version does not hold up others.
+    if (!U && !Call.Origin)
       return;
-    Queue.pop_front();
+    if (!U) {
+      ++Next;
+      continue;
+    }
+    Next = Queue.erase(Next);
     Call.Upstream = *U;
     sendTo(Now, Call, 0);
   }
@@ -235,7 +246,7 @@
 const UpstreamRecord *Forwarder::choosePlain(Time Now,
                                              const ActiveCall &Call) const {
   std::vector<const UpstreamRecord *> Allowed;
-  for (const UpstreamRecord *U : upstreamsOf(Call.Service))
+  for (const UpstreamRecord *U : candidatesFor(Call))
     if (Limits.allows(Now, U->Id))
       Allowed.push_back(U);
   return Balancer.choose(Now, Allowed, Call.TriedUpstreams);
@@ -274,9 +285,9 @@
 void Forwarder::placeOnEngine(Time Now, ActiveCall &Call) {
   const EngineRequirements Required = requirementsOf(Call);
   const std::vector<EngineCandidate> Ranked =
-      Engines.rank(Now, Required, upstreamsOf(Call.Service));
+      Engines.rank(Now, Required, candidatesFor(Call));
   if (Ranked.empty())
-    return fail(Now, Call, EndReason::NoUpstream);
+    return failWithoutUpstream(Now, Call);
   if (Call.AdmissionRequests == 0)
     prefetchOnPreferred(Now, Required, Ranked);
   const bool HeldSomewhere =
@@ -379,7 +390,7 @@
     return;
   switch (Reply.Decision) {
   case Verdict::Go:
-    if (!isUsable(Call.Upstream.Id)) {
+    if (!canSend(Call)) {
       endAdmission(Call);
       return placeOnEngine(Now, Call);
     }
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -123,6 +123,10 @@
   void onOutputReport(Time Now, std::span<const TraitOutput> Outputs);
   /// Another process has these verdicts.
   void onVerdicts(Time Now, std::span<const TraitVerdict> Verdicts);
+  /// A side's answer to ForwardPort::requestOrigin(); empty if it does not know
+  /// the origin.
+  void onOrigin(Time Now, const OriginQuery &Query,
+                const std::optional<StreamOrigin> &Origin);
   /// To be called every few milliseconds.
   void onTimer(Time Now);
 
@@ -130,12 +134,16 @@
 
   size_t callsInProgress() const { return Calls.size(); }
   const CrashAttribution &crashes() const { return Crashes; }
+  /// The origins of the streams that this entry has forwarded lately.
+  const StreamOrigins &origins() const { return Origins; }
   bool hasConfig() const {
     return CurrentCatalog && CurrentCatalog->config() != nullptr;
   }
 
 private:
   enum class Stage {
+    /// Sides were asked for the origin of the stream that the caller takes up.
+    OriginRequested,
     /// In the entry's queue for a plain service.
     Queued,
     /// An admission request was sent and not answered yet.
@@ -194,6 +202,12 @@
     // progress.
     bool Isolated = false;
     StreamPosition Position;
+    // Set once the stream has an event.
+    std::optional<StreamOrigin> Origin;
+    uint32_t OriginRound = 0;
+    // Sides asked in this round, and those that do not know the origin.
+    size_t OriginAsked = 0;
+    size_t OriginAnswers = 0;
     std::string Buffered;
     // An upstream's own failure, forwarded if no retry succeeds.
     bool HasFailure = false;
@@ -206,11 +220,36 @@
   const std::vector<const UpstreamRecord *> &
   upstreamsOf(const std::string &Service) const;
   bool isUsable(const std::string &UpstreamId) const;
+  /// Whether the call's upstream can be used and still runs the software that
+  /// the call needs.
+  bool canSend(const ActiveCall &Call) const;
   /// Picks one of the route's services at random, by weight.
   std::string pickService(const RouteSpec &Route);
   void rejectNewCall(uint64_t Id, const IncomingCall &Request, unsigned Status,
                      Duration RetryAfter, EndReason Why);
 
+  /// Places a new call on its service.
+  void place(Time Now, ActiveCall &Call);
+
+  // Origins of streams (forwarder_origins.cc).
+  /// Whether the caller takes up a stream that an earlier attempt began.
+  static bool takesUp(const ActiveCall &Call);
+  /// Identifies the call's stream over all attempts.
+  static uint64_t streamKey(const ActiveCall &Call);
+  void findOrigin(Time Now, ActiveCall &Call);
+  void askForOrigin(Time Now, ActiveCall &Call, size_t Keepers,
+                    Duration Timeout);
+  void onOriginTimeout(Time Now, ActiveCall &Call);
+  void placeTakeUp(Time Now, ActiveCall &Call, StreamOrigin Origin);
+  void failTakeUp(Time Now, ActiveCall &Call, EndReason Why);
+  /// The call's stream has its first event of this answer.
+  void noteOrigin(Time Now, ActiveCall &Call);
+  /// Whether \p U may go on with the call's stream, or begin it.
+  static bool mayContinue(const ActiveCall &Call, const UpstreamRecord &U);
+  /// The usable upstreams of the call's service that may run it.
+  std::vector<const UpstreamRecord *>
+  candidatesFor(const ActiveCall &Call) const;
+
   // Plain services.
   void placeOnService(Time Now, ActiveCall &Call);
   void sendQueued(Time Now, const std::string &Service);
@@ -273,6 +312,8 @@
   void forwardAnswer(Time Now, ActiveCall &Call, const AnswerHead &Head,
                      std::string Body);
   void fail(Time Now, ActiveCall &Call, EndReason Why);
+  /// No upstream of the service can run the call.
+  void failWithoutUpstream(Time Now, ActiveCall &Call);
   void endCall(Time Now, ActiveCall &Call, std::string_view Outcome);
   Duration retryAfter(Time Now, const ActiveCall &Call);
   void schedule(Time When, uint64_t Id);
@@ -296,6 +337,7 @@
   EngineRanker Engines;
   ServiceBalancer Balancer;
   UpstreamLimits Limits;
+  StreamOrigins Origins{StreamOrigins::Options()};
   CrashDetector Detector;
   CrashAttribution Crashes;
   // Calls in progress that are isolated, at most one.
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -35,6 +35,10 @@
     return "quarantined";
   case EndReason::Suspect:
     return "suspect";
+  case EndReason::UnknownOrigin:
+    return "unknown_origin";
+  case EndReason::OriginGone:
+    return "origin_gone";
   case EndReason::TooMany:
     return "too_many";
   }
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -64,7 +64,8 @@
   SendOpts.AfterEvent = Call.Position.lastId();
   Port.log(LogClass::Routine,
            "send " + describe(Call) + " send=" + std::to_string(Call.Sends) +
-               " version=" + std::to_string(Version) + " waited_ms=" +
+               " version=" + std::to_string(Version) +
+               " software=" + Call.Upstream.SoftwareVersion + " waited_ms=" +
                std::to_string((Now - Call.Arrived).count() / 1000) +
                (SendOpts.AfterEvent.empty()
                     ? ""
@@ -148,6 +149,8 @@
   if (!Complete.empty()) {
     noteOutput(Now, *Call);
     Call->CurrentStage = Stage::Streaming;
+    if (!Call->HeadForwarded)
+      noteOrigin(Now, *Call);
     if (!Call->HeadForwarded) {
       Call->HeadForwarded = true;
       Port.answerBegin(Call->Id, Call->Head.Status, Call->Head.Fields);
@@ -300,13 +303,20 @@
   const Duration Remaining = Call.Request.TimeLeft > Duration(0)
                                  ? Call.Request.TimeLeft - (Now - Call.Arrived)
                                  : MaxRetryAfter;
-  const Duration Base = std::max(Call.RetryDelay, MinRetryAfter);
+  const Duration Base =
+      std::clamp(Call.RetryDelay, MinRetryAfter, MaxRetryAfter);
   const Duration Spread = Duration(static_cast<int64_t>(
       static_cast<double>(Base.count()) * RetryAfterSpread * Rand.unit()));
   return std::min(
       {Base + Spread, MaxRetryAfter, std::max(MinRetryAfter, Remaining / 3)});
 }
 
+void Forwarder::failWithoutUpstream(Time Now, ActiveCall &Call) {
+  if (upstreamsOf(Call.Service).empty() || !candidatesFor(Call).empty())
+    return fail(Now, Call, EndReason::NoUpstream);
+  failTakeUp(Now, Call, EndReason::OriginGone);
+}
+
 void Forwarder::fail(Time Now, ActiveCall &Call, EndReason Why) {
   if (Call.HeadForwarded) {
     Port.answerAbort(Call.Id);
@@ -385,6 +395,8 @@
   if (Now < Call.StageUntil)
     return;
   switch (Call.CurrentStage) {
+  case Stage::OriginRequested:
+    return onOriginTimeout(Now, Call);
   case Stage::AdmissionRequested:
     Port.log(LogClass::Kept, "side_silent " + describe(Call));
     Engines.onSideSilent(Now, Call.Upstream.Id);
@@ -392,7 +404,7 @@
     Port.onSideTimeout(Call.Upstream);
     // An engine reliably refuses what it cannot serve, so sending to it without
     // admission by its side is safe.
-    if (Call.UpstreamHoldsAdapter && isUsable(Call.Upstream.Id) &&
+    if (Call.UpstreamHoldsAdapter && canSend(Call) &&
         Limits.allows(Now, Call.Upstream.Id)) {
       Limits.onSent(Now, Call.Upstream.Id);
       return sendTo(
