Do not keep a connection on which an upstream has refused a request

Callers saw, as another operator reports: "not run, try again" for a request that an upstream had run or was running, or such a request run twice.

Cause: a faulty upstream wrote an earlier refusal once more on a kept connection, and an answer without Request-Id is taken for that to whatever was sent last. Looking for unread bytes before a connection is used again leaves a race, and a copy for a request that is sent again on the same connection even bears the right id. Class of fault: a statement that a request has not run is believed on a connection that has carried such a statement before.

Fix: a connection that has carried a refusal is closed after it, so the only refusal it can carry is the first one. Copies of other answers bear their signature and id.

--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -159,7 +159,12 @@
     http::CallHandlers On;
     On.OnHead = [this, Id,
                  RequestId = Call.RequestId](const http::ResponseHead &Head) {
-      Forwarder.onHead(now(), Id, platform::decodeAnswer(Head, RequestId));
+      forward::AnswerHead Answer = platform::decodeAnswer(Head, RequestId);
+      // A faulty upstream may write a refusal once more, where the answer to
+      // the next request on the connection is expected.
+      if (Answer.NotRun)
+        closeWhenDone(Id);
+      Forwarder.onHead(now(), Id, std::move(Answer));
     };
     On.OnData = [this, Id](std::string Part) {
       Forwarder.onData(now(), Id, std::move(Part));
@@ -191,6 +196,12 @@
     OpenSends.erase(It);
   }
 
+  void closeWhenDone(forward::SendId Id) {
+    const auto It = OpenSends.find(Id.Call);
+    if (It != OpenSends.end() && It->second.Number == Id.Number)
+      It->second.Call->closeWhenDone();
+  }
+
   void eraseSend(forward::SendId Id) {
     const auto It = OpenSends.find(Id.Call);
     if (It != OpenSends.end() && It->second.Number == Id.Number)
--- a/http/client.cc
+++ b/http/client.cc
@@ -180,6 +180,8 @@
     resetSocket();
   }
 
+  void closeWhenDone() override { CloseWhenDone = true; }
+
 private:
   void connect() {
     Stream->expires_after(toNanos(Options.connectTimeout()));
@@ -279,7 +281,7 @@
   void done() {
     Finished = true;
     if (Parser->keep_alive() && !Options.freshConnection() && RequestWritten &&
-        Buffer.size() == 0) {
+        !CloseWhenDone && Buffer.size() == 0) {
       Stream->expires_never();
       const Duration Announced =
           announcedKeepAlive(std::string(Parser->get()["Keep-Alive"]));
@@ -355,6 +357,7 @@
   unsigned InterimResponses = 0;
   bool RequestWritten = false;
   bool Reused = false;
+  bool CloseWhenDone = false;
   bool Finished = false;
 };
 
--- a/http/client.h
+++ b/http/client.h
@@ -101,6 +101,9 @@
   /// Ends the call without a callback and resets its connection. Idempotent;
   /// no effect after the end of the call. Not thread-safe.
   virtual void cancel() = 0;
+  /// Closes the connection after the response instead of keeping it for other
+  /// calls. To be called from a handler of this call. Not thread-safe.
+  virtual void closeWhenDone() = 0;
 };
 
 /// A complete response, for calls that need no streaming.
--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -66,13 +66,13 @@
                                         const std::string &Adapter,
                                         const std::string &Body,
                                         const std::string &Prompt) {
+  const std::string Id = "r" + std::to_string(++LastId);
   http::Request R;
   R.Method = "POST";
   R.Target = Target;
   R.Body = Body;
-  R.Fields = {{"Host", "h"},
-              {"Request-Id", "r" + std::to_string(++LastId)},
-              {"Request-Deadline", "20000"}};
+  R.Fields = {
+      {"Host", "h"}, {"Request-Id", Id}, {"Request-Deadline", "20000"}};
   if (!Adapter.empty()) {
     R.Fields.push_back({"Model", "m/" + Adapter});
     R.Fields.push_back({"Token-Count", "100,20"});
@@ -87,6 +87,10 @@
   }
 }
 
+std::string PlatformDeployment::lastId() const {
+  return "r" + std::to_string(LastId);
+}
+
 uint64_t StreamResult::lastEvent() const {
   const size_t End = Body.rfind("\n\n");
   const size_t At = End == std::string::npos ? End : Body.rfind("id: ", End);
@@ -110,7 +114,7 @@
     size_t Entry, const StreamRequest &Wanted, size_t Events,
     const std::function<void(const StreamResult &)> &OnEvents) {
   StreamResult Out;
-  Out.RequestId = "s" + std::to_string(++LastId);
+  Out.RequestId = "r" + std::to_string(++LastId);
   http::Request R;
   R.Method = "POST";
   R.Target = "/resume/x";
@@ -118,7 +122,7 @@
   R.Fields = {{"Host", "h"},
               {"Request-Id", Out.RequestId},
               {"Request-Deadline", "20000"},
-              {"Model", "m/" + Wanted.Adapter},
+              {"Model", Wanted.Adapter.empty() ? "m" : "m/" + Wanted.Adapter},
               {"Token-Count", "100,20"}};
   if (!Wanted.Resumes.empty())
     R.Fields.push_back({"Resumes", Wanted.Resumes});
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -66,6 +66,8 @@
                       const std::string &Adapter = "",
                       const std::string &Body = "b",
                       const std::string &Prompt = "");
+  /// Id of the last request of call() or stream().
+  std::string lastId() const;
   /// Reads a stream and calls \p OnEvents once, when it has \p Events events.
   StreamResult
   stream(size_t Entry, const StreamRequest &Wanted, size_t Events = 0,
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -172,6 +172,16 @@
   });
 }
 
+void PlatformStandIn::putUpstream(const std::string &Id,
+                                  const std::string &Service,
+                                  const http::Endpoint &Address) {
+  onThread([&] {
+    const UpstreamStandIn U(Impl->Io, {Id, Service, Address, Address, false},
+                            Impl->Common);
+    Impl->Store.put("servers", Id, serverRecord(U));
+  });
+}
+
 void PlatformStandIn::drain(const std::string &Name) {
   onThread([&] {
     Impl->at(Name).setDraining(currentTime().Steady);
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -48,6 +48,9 @@
   /// Starts an upstream whose address in the store may differ from the one on
   /// which it listens.
   void add(UpstreamStandIn::Spec Description);
+  /// Writes the record of an upstream that the test runs itself.
+  void putUpstream(const std::string &Id, const std::string &Service,
+                   const http::Endpoint &Address);
   /// Sets the upstream's record in the store to draining or to ready, or
   /// removes the record.
   void drain(const std::string &Name);
