Treat any other answer to a send that resumes a stream as a broken send

Here, of 23 kinds of answers to the send that resumes (faulty_answer_test, the real programs), one still ended the stream as complete: success with another transfer coding, whose body ends with the connection although it has the field. By reading: a content type that only begins like that of a stream was taken for one; such text is not forwarded any more in any case, since it has no event numbers.

A failure or a success that is no stream is now a broken send like the others, so the stream may go on at another upstream instead of being cut.

--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -210,8 +210,7 @@
   } else if (Call.HeadForwarded) {
     // The send that was to resume the stream got another kind of answer, after
     // the caller had received a part of the stream.
-    Port.answerAbort(Call.Id);
-    endCall(Now, Call, "cut");
+    onBroken(Now, Call, EndReason::Broken);
   } else if (Status >= 500 && Call.Repeat == Repeatability::Idempotent &&
              takeRetry(Now, Call, true)) {
     Call.HasFailure = true;
--- a/http/client.cc
+++ b/http/client.cc
@@ -234,6 +234,7 @@
             return Self->onInterimResponse();
           ResponseHead Head;
           Head.Status = Self->Parser->get().result_int();
+          Head.EndsWithConnection = Self->Parser->need_eof();
           for (const auto &F : Self->Parser->get())
             Head.Fields.push_back(
                 {std::string(F.name_string()), std::string(F.value())});
--- a/http/message.h
+++ b/http/message.h
@@ -51,6 +51,8 @@
 struct ResponseHead {
   unsigned Status = 0;
   Headers Fields;
+  /// The body has neither a length nor chunks: it ends with the connection.
+  bool EndsWithConnection = false;
 
   /// The value of the first field named \p Name, empty if absent.
   std::string_view header(std::string_view Name) const {
--- a/testing/faulty_answer_test.cc
+++ b/testing/faulty_answer_test.cc
@@ -25,6 +25,27 @@
   return answer("503 Service Unavailable", Id, "Not-Executed: 1\r\n", "");
 }
 
+std::string events(uint64_t From, uint64_t To) {
+  std::string Out;
+  for (uint64_t I = From; I <= To; ++I)
+    Out += "id: " + std::to_string(I) + "\ndata: software=v1\n\n";
+  return Out;
+}
+
+std::string chunk(const std::string &Bytes) {
+  char Size[20];
+  std::snprintf(Size, sizeof(Size), "%zx\r\n", Bytes.size());
+  return Size + Bytes + "\r\n";
+}
+
+std::string streamHead(const std::string &Id, const std::string &Framing) {
+  return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id +
+         "\r\nResponse-Seal: seal\r\nContent-Type: text/event-stream\r\n" +
+         Framing + "\r\n";
+}
+
+constexpr const char *Chunked = "Transfer-Encoding: chunked\r\n";
+
 // When a refusal is written once more, relative to the next request on the
 // connection and its answer.
 enum class CopyTime { BeforeRequest, BeforeAnswer, AfterAnswer };
@@ -88,3 +109,124 @@
         CHECK(Refused > 0);
       }
 }
+
+TEST_CASE("a stream that breaks off gets no bytes of another kind of answer") {
+  struct Row {
+    const char *Name;
+    // Answer to the send that resumes the stream, by request id.
+    std::function<std::string(const std::string &)> Answer;
+    const char *Events;
+  };
+  const std::string Begun = events(1, 3);
+  const auto Plain = [](const char *Status, const char *Fields) {
+    return [=](const std::string &Id) {
+      return answer(Status, Id, Fields, "no\n\ncapacity\n\n");
+    };
+  };
+  const auto Stream = [](const char *Framing, const std::string &Body) {
+    return
+        [=](const std::string &Id) { return streamHead(Id, Framing) + Body; };
+  };
+  const Row Rows[] = {
+      {"failure", Plain("500 Error", ""), ""},
+      {"signed failure", Plain("500 Error", "Response-Seal: seal\r\n"), ""},
+      {"failure as a stream",
+       Plain("500 Error",
+             "Response-Seal: s\r\nContent-Type: text/event-stream\r\n"),
+       ""},
+      {"refusal", refusal, ""},
+      {"refusal without id", [](const std::string &) { return refusal(""); },
+       ""},
+      {"not found", Plain("404 Not Found", ""), ""},
+      {"success that is no stream",
+       Plain("200 OK", "Response-Seal: seal\r\nContent-Type: text/plain\r\n"),
+       ""},
+      {"type that begins like a stream's",
+       Plain("200 OK",
+             "Response-Seal: s\r\nContent-Type: text/event-streams\r\n"),
+       ""},
+      {"unsigned stream",
+       [](const std::string &Id) {
+         return answer("200 OK", Id, "Content-Type: text/event-stream\r\n",
+                       events(4, 5));
+       },
+       ""},
+      {"interim response, then failure",
+       [](const std::string &Id) {
+         return "HTTP/1.1 100 Continue\r\n\r\n" +
+                answer("500 Error", Id, "", "no");
+       },
+       ""},
+      {"change of protocol",
+       [](const std::string &) {
+         return std::string("HTTP/1.1 101 Switching Protocols\r\n\r\nno");
+       },
+       ""},
+      {"head without end",
+       [](const std::string &Id) {
+         return "HTTP/1.1 200 OK\r\nRequest-Id: " + Id + "\r\nRespo";
+       },
+       ""},
+      {"garbage", [](const std::string &) { return std::string("no\r\n\r\n"); },
+       ""},
+      {"nothing", [](const std::string &) { return std::string(); }, ""},
+      {"unframed without an event", Stream("", ""), ""},
+      {"unframed text", Stream("", "no capacity\n\n"), ""},
+      {"unframed head of an answer",
+       Stream("", "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"), ""},
+      {"events and a text", Stream("", events(4, 5) + "no capacity\n\n"),
+       "4..5"},
+      {"event missing", Stream("", events(5, 6)), ""},
+      {"event twice", Stream("", events(3, 4)), ""},
+      {"chunked text", Stream(Chunked, chunk("no capacity\n\n") + "0\r\n\r\n"),
+       ""},
+      {"garbage instead of a chunk",
+       Stream(Chunked, chunk(events(4, 5)) + "no\r\n"), "4..5"},
+      {"other transfer coding", Stream("Transfer-Encoding: identity\r\n", ""),
+       ""},
+  };
+  std::mutex Mutex;
+  std::function<std::string(const std::string &)> Resumed;
+  const auto Script = [&](RawConnection &C) {
+    while (C.readRequest()) {
+      const std::string Id = C.requestId();
+      if (Id.empty())
+        continue;
+      if (C.field("Last-Event-Id").empty()) {
+        C.write(streamHead(Id, Chunked) + chunk(Begun));
+        // A reset discards what the peer has not read yet.
+        std::this_thread::sleep_for(std::chrono::milliseconds(100));
+        return C.reset();
+      }
+      std::function<std::string(const std::string &)> Answer;
+      {
+        const std::lock_guard Lock(Mutex);
+        Answer = Resumed;
+      }
+      return C.write(Answer(Id));
+    }
+  };
+  RawUpstream First("127.0.3.8", Script);
+  RawUpstream Second("127.0.3.9", Script);
+  for (const Row &R : Rows) {
+    CAPTURE(std::string(R.Name));
+    {
+      const std::lock_guard Lock(Mutex);
+      Resumed = R.Answer;
+    }
+    // Entries learn that upstreams fail, so each row has its own.
+    PlatformDeployment System(0, 1);
+    System.Platform.putUpstream("first", "engines", First.endpoint());
+    System.Platform.putUpstream("second", "engines", Second.endpoint());
+    StreamResult S;
+    CHECK(eventually(
+        [&] {
+          S = System.stream(0, {.Adapter = ""});
+          return S.Status == 200;
+        },
+        MaxWaitSeconds));
+    CHECK_FALSE(S.Complete);
+    CHECK(S.Body ==
+          Begun + (R.Events == std::string("4..5") ? events(4, 5) : ""));
+  }
+}
