Do not close a connection whose request has just been read

Now the pending read is cancelled and its handler decides: with bytes, the request is served, and the connection closes after the answer.

The test failed before with one step between the arrival and the stop.

--- a/http/server.cc
+++ b/http/server.cc
@@ -43,6 +43,8 @@
   void listen(const Endpoint &Listen);
   void accept();
   void stop();
+  // Closes the connections that have no request in progress.
+  void closeIdle();
 
   asio::io_context &Io;
   Tcp::acceptor Acceptor;
@@ -79,9 +81,11 @@
     if (Buffer.size() > 0)
       return readHeader();
     expireAfter(Owner->Options.idleTimeout());
+    AwaitsRequest = true;
     Stream.async_read_some(
         Buffer.prepare(FirstReadBytes),
         [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
+          Self->AwaitsRequest = false;
           if (Error)
             return Self->close();
           Self->Buffer.commit(Bytes);
@@ -89,6 +93,13 @@
         });
   }
 
+  // Closes the connection unless a request has begun to arrive. The handler of
+  // the read decides, since it may be queued with the bytes that were read.
+  void cancelIfIdle() {
+    if (AwaitsRequest)
+      Stream.cancel();
+  }
+
   void closeIfIdle() {
     if (!InRequest && Unsent.empty())
       close();
@@ -363,6 +374,8 @@
   // earlier request from that of the current one.
   uint64_t RequestNumber = 0;
   bool KeepAlive = true;
+  // Waits for the first byte of a request.
+  bool AwaitsRequest = false;
   // A request was read and its response is not yet written.
   bool InRequest = false;
   // The complete response is queued or sent.
@@ -412,6 +425,11 @@
   AnnounceClose = true;
   ErrorCode Ignored;
   Acceptor.close(Ignored);
+  for (Connection *C : Connections)
+    C->cancelIfIdle();
+}
+
+void Server::State::closeIdle() {
   const std::vector<Connection *> Snapshot(Connections.begin(),
                                            Connections.end());
   for (Connection *C : Snapshot)
@@ -425,7 +443,10 @@
   Shared->accept();
 }
 
-Server::~Server() { Shared->stop(); }
+Server::~Server() {
+  Shared->stop();
+  Shared->closeIdle();
+}
 
 uint16_t Server::port() const {
   return Shared->Acceptor.local_endpoint().port();
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -245,6 +245,39 @@
   }
 }
 
+TEST_CASE("stopAccepting() does not cut off a request that was just read") {
+  // The server stops while the bytes of the request are in the socket, or read
+  // but not handled yet, or handled.
+  for (int StepsBeforeStop = 0; StepsBeforeStop < 8; ++StepsBeforeStop) {
+    CAPTURE(StepsBeforeStop);
+    asio::io_context Io;
+    int Served = 0;
+    http::Server Server(Io, {"127.0.0.1", 0}, http::ServerOptions(),
+                        [&](http::Request, std::shared_ptr<http::Responder> R) {
+                          ++Served;
+                          R->respond(200, {}, "done");
+                        });
+    asio::io_context CallerIo;
+    Tcp::socket Socket(CallerIo);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Server.port()});
+    Io.run_for(std::chrono::milliseconds(20));
+    Io.restart();
+    writeText(Socket, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    std::function<void(int)> Step = [&](int Left) {
+      if (Left == 0)
+        return Server.stopAccepting();
+      asio::post(Io, [&, Left] { Step(Left - 1); });
+    };
+    asio::post(Io, [&] { Step(StepsBeforeStop); });
+    Io.run_for(std::chrono::milliseconds(50));
+    asio::streambuf Buffer;
+    boost::system::error_code Error;
+    asio::read(Socket, Buffer, Error);
+    CHECK((Buffer.size() > 0) == (Served > 0));
+  }
+}
+
 TEST_CASE("an aborted response does not look complete, whatever its framing") {
   struct Row {
     const char *Version;
