Send nothing to an upstream that has said in an answer that it leaves

What an incarnation has said once is final: no record, update or restored store undoes it, only a later start under the same id. An entry that reads it, in an answer of any kind, stops at once, places again what waits for admission there, and tells the others through a few sides; a side that hears it from its own engine, in an answer to a report, an order or a health check, refuses admission and tells all entries. Sides tell entries that connect later.

--- a/catalog/types.h
+++ b/catalog/types.h
@@ -115,6 +115,8 @@
   /// Version of the upstream's software, not of weights; empty if it has not
   /// stated one.
   std::string SoftwareVersion;
+  /// Unix time of the incarnation's start in milliseconds; 0 if not stated.
+  uint64_t StartedMs = 0;
 
   bool operator==(const UpstreamRecord &) const = default;
 };
--- a/daemon/catalog_codec.cc
+++ b/daemon/catalog_codec.cc
@@ -30,6 +30,7 @@
   Message.set_slots(Record->Slots);
   Message.set_draining(Record->Draining);
   Message.set_software_version(Record->SoftwareVersion);
+  Message.set_started_ms(Record->StartedMs);
 }
 
 void fillUpstream(wire::Beliefs::Upstream &Message,
@@ -57,6 +58,7 @@
   R.Slots = Message.slots();
   R.Draining = Message.draining();
   R.SoftwareVersion = Message.software_version();
+  R.StartedMs = Message.started_ms();
   return R;
 }
 
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -19,6 +19,7 @@
 #include "daemon/catalog_exchange.h"
 #include "daemon/crash_codec.h"
 #include "daemon/forward_metrics.h"
+#include "daemon/leaving_codec.h"
 #include "daemon/origin_codec.h"
 #include "daemon/side_connection.h"
 #include "forward/forwarder.h"
@@ -256,6 +257,11 @@
     sideOf(Upstream).Connection->sendOrQueue(E);
   }
 
+  void shareLeaving(const forward::UpstreamIncarnation &Leaving) override {
+    Metrics.count("upstreams_leaving_total");
+    sendToRelays(encodeLeaving(std::span(&Leaving, 1)));
+  }
+
   void recordOrigin(uint64_t Attempt,
                     const forward::StreamOrigin &Origin) override {
     Metrics.count("stream_origins_total");
@@ -474,6 +480,9 @@
       const wire::AdmissionReply &Reply = Message.admission_reply();
       return Forwarder.onAdmission(Now, Id, Reply.id(), decodeReply(Reply));
     }
+    if (Message.has_upstream_leaving())
+      return Forwarder.onLeaving(Now,
+                                 decodeLeaving(Message.upstream_leaving()));
     if (Message.has_stream_origin_reply()) {
       const wire::StreamOriginReply &Reply = Message.stream_origin_reply();
       return Forwarder.onOrigin(
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -21,9 +21,11 @@
 #include "daemon/admission_codec.h"
 #include "daemon/catalog_exchange.h"
 #include "daemon/crash_relay.h"
+#include "daemon/leaving_codec.h"
 #include "daemon/origin_codec.h"
 #include "daemon/process_control.h"
 #include "http/client.h"
+#include "platform/call_headers.h"
 #include "platform/engine_control.h"
 #include "platform/store_records.h"
 #include "wire/socket.h"
@@ -104,8 +106,10 @@
     const Time Now = now();
     const bool IsNew = LastSeen.insert_or_assign(Peer, Now).second;
     if (Message.has_admission_ask())
-      Admission.onAdmissionRequest(
-          Now, decodeAdmissionRequest(Message.admission_ask(), Peer));
+      onAdmissionRequest(Now,
+                         decodeAdmissionRequest(Message.admission_ask(), Peer));
+    else if (Message.has_upstream_leaving())
+      onLeaving(Now, Peer, decodeLeaving(Message.upstream_leaving()));
     else if (Message.has_admission_end())
       Admission.onEnd(Now, Peer, Message.admission_end().id(),
                       Duration(static_cast<int64_t>(
@@ -115,12 +119,59 @@
     else if (!onOriginMessage(Now, Peer, Message) &&
              !onCrashMessage(Now, Peer, Message))
       onCatalogMessage(Now, Peer, Message);
-    if (IsNew)
+    if (IsNew) {
       sendLoad(Peer, Admission.load(Now));
+      sendLeaving(Peer);
+    }
     requestReport(Now);
     rearmTickIfBusy();
   }
 
+  bool engineLeaves() const {
+    return !InstanceId.empty() && Leaving.contains({InstanceId, StartedMs});
+  }
+
+  void onAdmissionRequest(Time Now, AdmissionRequest Request) {
+    if (!engineLeaves())
+      return Admission.onAdmissionRequest(Now, std::move(Request));
+    if (Request.Prefetch)
+      return;
+    AdmissionReply Refusal;
+    Refusal.Decision = Verdict::Refuse;
+    Refusal.Reason = "leaving";
+    reply(Request, Refusal);
+  }
+
+  // Traffic thread: upstreams that leave.
+
+  void onLeaving(Time Now, const std::string &From,
+                 std::vector<forward::UpstreamIncarnation> Upstreams) {
+    std::erase_if(Upstreams, [&](const forward::UpstreamIncarnation &U) {
+      return !Leaving.add(Now, U);
+    });
+    for (const forward::UpstreamIncarnation &U : Upstreams)
+      Control.log("upstream_leaving upstream=" + U.Id +
+                  " started_ms=" + std::to_string(U.StartedMs));
+    if (!Upstreams.empty())
+      sendToOthers(From, encodeLeaving(Upstreams));
+  }
+
+  // To an entry that may have started after the notices.
+  void sendLeaving(const std::string &Peer) {
+    const std::vector<forward::UpstreamIncarnation> All = Leaving.all();
+    if (All.empty())
+      return;
+    wire::Envelope E = encodeLeaving(All);
+    send(Peer, E);
+  }
+
+  // The engine has answered a request of this process.
+  void onEngineAnswer(Time Now, const http::ResponseHead &Head) {
+    const forward::UpstreamNotice Notice = platform::decodeNotice(Head);
+    if (Notice.Leaving && !InstanceId.empty())
+      onLeaving(Now, "", {{InstanceId, StartedMs}});
+  }
+
   void onLimit(Time Now, const wire::UpstreamLimit &Message) {
     // A limit ends with the incarnation that named it.
     if (Message.upstream() == InstanceId)
@@ -291,6 +342,7 @@
     const Time Now = now();
     Admission.onTimer(Now);
     Relay.onTimer(Now);
+    Leaving.expire(Now);
     KnownCatalog.onTimer(Now);
     requestReport(Now);
     sendLoadIfChanged(Now);
@@ -327,6 +379,8 @@
                  Options, [this](const http::Response *R, http::CallError) {
                    ReportPending = false;
                    onReport(R);
+                   if (R)
+                     onEngineAnswer(now(), R->Head);
                  });
   }
 
@@ -371,6 +425,7 @@
                    if (!R)
                      return;
                    InstanceId = platform::decodeInstanceId(R->Head);
+                   onEngineAnswer(now(), R->Head);
                    Control.log("engine id=" + InstanceId +
                                " started_ms=" + std::to_string(StartedMs));
                  });
@@ -386,6 +441,8 @@
         Options,
         [this, Number = Order.Number](const http::Response *R,
                                       http::CallError) {
+          if (R)
+            onEngineAnswer(now(), R->Head);
           Admission.onOrderOutcome(now(), Number,
                                    R ? platform::decodeOrderAnswer(R->Head)
                                      : OrderOutcome::Unknown);
@@ -425,6 +482,7 @@
   Catalog KnownCatalog;
   CatalogExchange Exchange;
   CrashRelay Relay;
+  forward::LeavingUpstreams Leaving;
   forward::StreamOrigins Origins{forward::StreamOrigins::Options()};
   EngineLoad LastLoad;
   Time LoadSentAt{};
--- a/forward/call.h
+++ b/forward/call.h
@@ -63,6 +63,14 @@
   std::string AfterEvent;
 };
 
+/// What an upstream says of itself in any answer.
+struct UpstreamNotice {
+  /// Id of the incarnation that answers; empty if the answer does not name it.
+  std::string InstanceId;
+  /// It leaves and wants no further requests.
+  bool Leaving = false;
+};
+
 /// Status and decoded header fields of an upstream's answer.
 struct AnswerHead {
   unsigned Status = 0;
@@ -82,6 +90,7 @@
   /// Requests a second that the upstream takes from all entries together;
   /// empty if it names no limit.
   std::optional<double> RequestLimit = std::nullopt;
+  UpstreamNotice Notice;
   /// The body has a content encoding, although the entry requests none.
   bool Encoded = false;
 };
--- a/forward/forward_port.h
+++ b/forward/forward_port.h
@@ -11,6 +11,7 @@
 #include "base/log_class.h"
 #include "forward/call.h"
 #include "forward/crash_attribution.h"
+#include "forward/leaving_upstreams.h"
 #include "forward/stream_origins.h"
 
 namespace goldcrestlink::forward {
@@ -109,6 +110,8 @@
   /// Checks whether \p Upstream accepts connections; the result goes to
   /// Forwarder::onProbe().
   virtual void probe(const UpstreamRecord &Upstream) = 0;
+  /// Passes on to all processes that this incarnation leaves.
+  virtual void shareLeaving(const UpstreamIncarnation &Leaving) = 0;
   /// Passes the origin of the stream that \p Attempt (a hash) began to the
   /// sides that keep it.
   virtual void recordOrigin(uint64_t Attempt, const StreamOrigin &Origin) = 0;
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -42,15 +42,17 @@
 
 void Forwarder::onCatalog(Time Now, std::shared_ptr<const Catalog> NewCatalog) {
   CurrentCatalog = std::move(NewCatalog);
-  ReadyUpstreams.clear();
-  for (const auto &[Id, U] : CurrentCatalog->upstreams())
-    if (!U.Draining)
-      ReadyUpstreams[U.Service].push_back(&U);
   Engines.retain(CurrentCatalog->upstreams());
   Balancer.retain(CurrentCatalog->upstreams());
   Limits.retain(CurrentCatalog->upstreams());
-  // Calls that wait for admission at a draining or removed upstream are placed
-  // again.
+  onUsableUpstreams(Now);
+}
+
+void Forwarder::onUsableUpstreams(Time Now) {
+  ReadyUpstreams.clear();
+  for (const auto &[Id, U] : CurrentCatalog->upstreams())
+    if (isUsable(U))
+      ReadyUpstreams[U.Service].push_back(&U);
   std::vector<uint64_t> ToMove;
   for (const auto &[Id, Call] : Calls)
     if ((Call.CurrentStage == Stage::AdmissionRequested ||
@@ -75,7 +77,11 @@
 
 bool Forwarder::isUsable(const std::string &UpstreamId) const {
   const auto It = CurrentCatalog->upstreams().find(UpstreamId);
-  return It != CurrentCatalog->upstreams().end() && !It->second.Draining;
+  return It != CurrentCatalog->upstreams().end() && isUsable(It->second);
+}
+
+bool Forwarder::isUsable(const UpstreamRecord &U) const {
+  return !U.Draining && !Leaving.contains({U.Id, U.StartedMs});
 }
 
 bool Forwarder::canSend(const ActiveCall &Call) const {
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -123,6 +123,8 @@
   void onOutputReport(Time Now, std::span<const TraitOutput> Outputs);
   /// Another process has these verdicts.
   void onVerdicts(Time Now, std::span<const TraitVerdict> Verdicts);
+  /// Another process has learnt that these upstreams leave.
+  void onLeaving(Time Now, std::span<const UpstreamIncarnation> Upstreams);
   /// A side's answer to ForwardPort::requestOrigin(); empty if it does not know
   /// the origin.
   void onOrigin(Time Now, const OriginQuery &Query,
@@ -220,6 +222,13 @@
   const std::vector<const UpstreamRecord *> &
   upstreamsOf(const std::string &Service) const;
   bool isUsable(const std::string &UpstreamId) const;
+  bool isUsable(const UpstreamRecord &U) const;
+  /// Determines anew which upstreams may get requests, and places calls again
+  /// that wait for admission at others.
+  void onUsableUpstreams(Time Now);
+  /// The upstream of \p Call has said this of itself.
+  void noteNotice(Time Now, const ActiveCall &Call,
+                  const UpstreamNotice &Notice);
   /// Whether the call's upstream can be used and still runs the software that
   /// the call needs.
   bool canSend(const ActiveCall &Call) const;
@@ -327,7 +336,8 @@
   ForwardPort &Port;
   Random Rand;
   std::shared_ptr<const Catalog> CurrentCatalog;
-  // Upstreams that are not draining, by service.
+  LeavingUpstreams Leaving;
+  // Upstreams that are not draining and do not leave, by service.
   std::map<std::string, std::vector<const UpstreamRecord *>> ReadyUpstreams;
   CallMap Calls;
   std::unordered_map<uint64_t, uint64_t> CallByAdmission;
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -97,6 +97,7 @@
   ActiveCall *Call = find(Send);
   if (!Call)
     return;
+  noteNotice(Now, *Call, Head.Notice);
   if (Head.OtherRequest || Head.Encoded ||
       (isSuccess(Head.Status) && !Head.Signed)) {
     Port.cancelSend(Send);
@@ -366,6 +367,7 @@
   if (Now >= NextCrashExpiry) {
     NextCrashExpiry = Now + CrashExpiryInterval;
     Crashes.expire(Now);
+    Leaving.expire(Now);
   }
   // The limits of upstreams allow further requests as time passes.
   for (const auto &[Service, Queue] : Queues)
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -122,6 +122,9 @@
   void shareLimit(const UpstreamRecord &, double PerSecond) override {
     Limit = PerSecond;
   }
+  void shareLeaving(const UpstreamIncarnation &U) override {
+    Leaving.push_back(U);
+  }
   void recordOrigin(uint64_t Attempt, const StreamOrigin &Origin) override {
     Origins[Attempt] = Origin;
   }
@@ -153,6 +156,7 @@
   size_t Sides = 2;
   std::map<uint64_t, StreamOrigin> Origins;
   std::vector<OriginQuery> Queries;
+  std::vector<UpstreamIncarnation> Leaving;
   std::vector<CrashReport> Reports;
   std::vector<TraitOutput> Outputs;
   std::vector<TraitVerdict> Verdicts;
--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -71,8 +71,7 @@
   R.Method = "POST";
   R.Target = Target;
   R.Body = Body;
-  R.Fields = {
-      {"Host", "h"}, {"Request-Id", Id}, {"Request-Deadline", "20000"}};
+  R.Fields = {{"Host", "h"}, {"Request-Id", Id}, {"Request-Deadline", "20000"}};
   if (!Adapter.empty()) {
     R.Fields.push_back({"Model", "m/" + Adapter});
     R.Fields.push_back({"Token-Count", "100,20"});
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -250,6 +250,10 @@
   onThread([&] { Impl->at(Name).setLimit(PerSecond); });
 }
 
+void PlatformStandIn::setLeaving(const std::string &Name) {
+  onThread([&] { Impl->at(Name).setLeaving(); });
+}
+
 void PlatformStandIn::setSoftwareVersion(const std::string &Name,
                                          const std::string &Version) {
   onThread([&] {
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -72,6 +72,9 @@
   /// From now on the upstream's answers name this limit, in requests per
   /// second; empty: none.
   void setLimit(const std::string &Name, const std::string &PerSecond);
+  /// From now on the upstream's answers say that it leaves, until it is started
+  /// again. Its record does not change.
+  void setLeaving(const std::string &Name);
   /// Sets the version of the upstream's software and writes its record.
   void setSoftwareVersion(const std::string &Name, const std::string &Version);
   /// From now on upstreams crash on requests with this part in their prompts,
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -46,6 +46,7 @@
 void UpstreamStandIn::start(const std::string &Id) {
   Description.Id = Id;
   Fault = UpstreamFault::None;
+  Leaves = false;
   Server = std::make_unique<http::Server>(
       Io, Description.Listen, http::ServerOptions(),
       [this](const http::Request &Request, const ResponderPtr &Responder) {
@@ -79,14 +80,17 @@
                 [](const auto &Weak) { return Weak.expired(); });
   OpenResponders.push_back(Responder);
   if (Request.path() == "/health")
-    return Responder->respond(200, {{"Instance-Id", Description.Id}}, "");
+    return Responder->respond(
+        200, withNotices({{"Instance-Id", Description.Id}}), "");
   if (Request.path() == "/-/report")
     return Fault == UpstreamFault::Silent
                ? Unanswered.push_back(Responder)
-               : Responder->respond(200, jsonType(), report().dump());
+               : Responder->respond(200, withNotices(jsonType()),
+                                    report().dump());
   if (Request.header("Expect-Instance") != Description.Id) {
     reportRejection(Request);
-    return Responder->respond(421, {{"Instance-Id", Description.Id}}, "");
+    return Responder->respond(
+        421, withNotices({{"Instance-Id", Description.Id}}), "");
   }
   if (Request.path() == "/-/order")
     return onOrder(Request, Responder);
@@ -131,7 +135,13 @@
     Out.push_back({"Response-Seal", "seal-" + Description.Id});
   if (!Limit.empty())
     Out.push_back({"Server-Limit", Limit});
-  return Out;
+  return withNotices(std::move(Out));
+}
+
+http::Headers UpstreamStandIn::withNotices(http::Headers Fields) const {
+  if (Leaves)
+    Fields.push_back({"Server-Leaving", "1"});
+  return Fields;
 }
 
 void UpstreamStandIn::onPlain(const http::Request &Request,
@@ -166,7 +176,7 @@
       (!ExpectedVersion.empty() &&
        parseNumber(ExpectedVersion) != static_cast<uint64_t>(It->second))) {
     reportRejection(Request);
-    return Responder->respond(421, {}, "");
+    return Responder->respond(421, withNotices({}), "");
   }
   const int Version = It->second;
   reportRun(Request, Adapter, Version);
@@ -239,10 +249,10 @@
   if (Order.is_discarded() || !Order.contains("holder") ||
       !Order.contains("fence_token") || !Order.contains("expect")) {
     reportViolation("order without holder, fencing number or expected count");
-    return Responder->respond(400, {}, "");
+    return Responder->respond(400, withNotices({}), "");
   }
   if (!Unloading.empty() || Order["expect"].get<uint64_t>() != OrderCount)
-    return Responder->respond(409, {}, "");
+    return Responder->respond(409, withNotices({}), "");
   ++OrderCount;
   const bool IsLoad = Order.value("operation", "") == "model_load";
   const std::string Adapter = Order.value("adapter", "");
@@ -250,7 +260,7 @@
     HasBaseModel = IsLoad;
   else
     IsLoad ? load(Adapter) : unload(Adapter);
-  Responder->respond(IsLoad ? 202 : 200, {}, "");
+  Responder->respond(IsLoad ? 202 : 200, withNotices({}), "");
 }
 
 void UpstreamStandIn::load(const std::string &Adapter) {
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -135,6 +135,9 @@
     SoftwareVersion = std::move(Version);
   }
   const std::string &softwareVersion() const { return SoftwareVersion; }
+  /// Every answer says that the upstream leaves, until it is started again. Its
+  /// record does not change.
+  void setLeaving() { Leaves = true; }
   /// Sets when the store began to show the upstream as draining or removed;
   /// Time{} if it shows the upstream as ready.
   void setDraining(Time Since) { DrainingSince = Since; }
@@ -179,6 +182,8 @@
   void reportRunEnd(const std::string &RequestId, RunEnd How);
   void reportViolation(const std::string &What);
   int newestVersion(const std::string &Adapter) const;
+  /// Adds what the upstream says of itself in every answer.
+  http::Headers withNotices(http::Headers Fields) const;
   http::Headers signedFields(const http::Request &Request) const;
   nlohmann::json report() const;
 
@@ -195,6 +200,7 @@
   std::string Limit;
   std::string SoftwareVersion = "v1";
   Time DrainingSince{};
+  bool Leaves = false;
   bool HasBaseModel = true;
   /// Incremented by each reset of the state; "born" in reports.
   uint64_t Incarnation = 1;
