Send nothing to an upstream for as long as its Retry-After says

An upstream that pauses is no candidate for any request of this entry: not for the ranking, waiting calls, retries, the send without admission or crash probes. If every upstream that could serve a call pauses, the caller is refused at once and told when the first is back, with a random part on top. A side pauses its reports, orders and health checks likewise, and does not take a paused engine for unreachable.

--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -170,6 +170,11 @@
     const forward::UpstreamNotice Notice = platform::decodeNotice(Head);
     if (Notice.Leaving && !InstanceId.empty())
       onLeaving(Now, "", {{InstanceId, StartedMs}});
+    if (Notice.Pause > Duration(0)) {
+      EnginePausedUntil = std::max(EnginePausedUntil, Now + Notice.Pause);
+      Control.log("engine state=paused ms=" +
+                  std::to_string(Notice.Pause.count() / 1000));
+    }
   }
 
   void onLimit(Time Now, const wire::UpstreamLimit &Message) {
@@ -370,7 +375,8 @@
   }
 
   void requestReport(Time Now) {
-    if (ReportPending || Now < Admission.reportDue(Now))
+    if (ReportPending || Now < EnginePausedUntil ||
+        Now < Admission.reportDue(Now))
       return;
     ReportPending = true;
     http::CallOptions Options;
@@ -386,6 +392,8 @@
 
   void onReport(const http::Response *R) {
     const Time Now = now();
+    if (R && platform::decodeNotice(R->Head).Pause > Duration(0))
+      return;
     if (!R || R->Head.Status != 200) {
       if (++MissedReports >= MaxMissedReports)
         Admission.onEngineUnreachable(Now);
@@ -412,7 +420,7 @@
   }
 
   void requestIdentity() {
-    if (IdentityPending || HealthPath.empty())
+    if (IdentityPending || HealthPath.empty() || now() < EnginePausedUntil)
       return;
     IdentityPending = true;
     http::Request HealthRequest;
@@ -432,6 +440,10 @@
   }
 
   void order(const EngineOrder &Order) override {
+    if (now() < EnginePausedUntil)
+      return boost::asio::post(Io, [this, Number = Order.Number] {
+        Admission.onOrderOutcome(now(), Number, OrderOutcome::Refused);
+      });
     http::CallOptions Options;
     Options.setConnectTimeout(OrderTimeout).setReadTimeout(OrderTimeout);
     ++OrderCount;
@@ -491,6 +503,8 @@
   uint64_t StartedMs = 0;
   uint64_t OrderCount = 0;
   unsigned MissedReports = 0;
+  // The engine wants no requests of this process until then.
+  Time EnginePausedUntil{};
   bool TickIsBusy = false;
   bool ReportPending = false;
   bool IdentityPending = false;
--- a/forward/call.h
+++ b/forward/call.h
@@ -69,6 +69,8 @@
   std::string InstanceId;
   /// It leaves and wants no further requests.
   bool Leaving = false;
+  /// It has turned a request away and wants none for so long; zero otherwise.
+  Duration Pause{};
 };
 
 /// Status and decoded header fields of an upstream's answer.
--- a/forward/forward_port.h
+++ b/forward/forward_port.h
@@ -42,7 +42,9 @@
   /// takes up.
   UnknownOrigin,
   /// No upstream of the software version that began the stream can be used.
-  OriginGone
+  OriginGone,
+  /// Every upstream that could serve the call wants no requests for a while.
+  Paused
 };
 
 /// Name of \p Reason in logs, metrics and answers. Thread-safe.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -45,6 +45,7 @@
   Engines.retain(CurrentCatalog->upstreams());
   Balancer.retain(CurrentCatalog->upstreams());
   Limits.retain(CurrentCatalog->upstreams());
+  Pauses.retain(CurrentCatalog->upstreams());
   onUsableUpstreams(Now);
 }
 
@@ -57,7 +58,7 @@
   for (const auto &[Id, Call] : Calls)
     if ((Call.CurrentStage == Stage::AdmissionRequested ||
          Call.CurrentStage == Stage::WaitingAtSide) &&
-        !canSend(Call))
+        !canSend(Now, Call))
       ToMove.push_back(Id);
   for (const uint64_t Id : ToMove) {
     ActiveCall &Call = Calls.at(Id);
@@ -84,8 +85,8 @@
   return !U.Draining && !Leaving.contains({U.Id, U.StartedMs});
 }
 
-bool Forwarder::canSend(const ActiveCall &Call) const {
-  return isUsable(Call.Upstream.Id) &&
+bool Forwarder::canSend(Time Now, const ActiveCall &Call) const {
+  return isUsable(Call.Upstream.Id) && Pauses.allows(Now, Call.Upstream.Id) &&
          mayContinue(Call, CurrentCatalog->upstreams().at(Call.Upstream.Id));
 }
 
@@ -206,12 +207,12 @@
     return sendTo(Now, Call, 0);
   }
   std::deque<uint64_t> &Queue = Queues[Call.Service];
-  const bool HasCandidates = !candidatesFor(Call).empty();
-  if (!HasCandidates || Call.Sends > 0 || Queue.size() >= MaxQueuedCalls)
-    return HasCandidates ? fail(Now, Call, EndReason::Overloaded)
-                         : failWithoutUpstream(Now, Call);
   const auto MaxQueueTime = Duration(static_cast<int64_t>(
       static_cast<double>(Call.Objective.count()) * Opts.maxQueueShare()));
+  if (candidatesFor(Call).empty() || pauseOf(Now, Call) > Duration(0))
+    return failWithoutUpstream(Now, Call);
+  if (Call.Sends > 0 || Queue.size() >= MaxQueuedCalls)
+    return fail(Now, Call, EndReason::Overloaded);
   if (const Duration Wait = limitWait(Call.Service, Queue.size());
       Wait > MaxQueueTime) {
     Call.RetryDelay = Wait;
@@ -252,7 +253,7 @@
 const UpstreamRecord *Forwarder::choosePlain(Time Now,
                                              const ActiveCall &Call) const {
   std::vector<const UpstreamRecord *> Allowed;
-  for (const UpstreamRecord *U : candidatesFor(Call))
+  for (const UpstreamRecord *U : openCandidatesFor(Now, Call))
     if (Limits.allows(Now, U->Id))
       Allowed.push_back(U);
   return Balancer.choose(Now, Allowed, Call.TriedUpstreams);
@@ -291,7 +292,7 @@
 void Forwarder::placeOnEngine(Time Now, ActiveCall &Call) {
   const EngineRequirements Required = requirementsOf(Call);
   const std::vector<EngineCandidate> Ranked =
-      Engines.rank(Now, Required, candidatesFor(Call));
+      Engines.rank(Now, Required, openCandidatesFor(Now, Call));
   if (Ranked.empty())
     return failWithoutUpstream(Now, Call);
   if (Call.AdmissionRequests == 0)
@@ -396,7 +397,7 @@
     return;
   switch (Reply.Decision) {
   case Verdict::Go:
-    if (!canSend(Call)) {
+    if (!canSend(Now, Call)) {
       endAdmission(Call);
       return placeOnEngine(Now, Call);
     }
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -32,6 +32,7 @@
 #include "forward/service_balancer.h"
 #include "forward/stream_position.h"
 #include "forward/upstream_limits.h"
+#include "forward/upstream_pauses.h"
 
 namespace goldcrestlink::forward {
 
@@ -231,7 +232,7 @@
                   const UpstreamNotice &Notice);
   /// Whether the call's upstream can be used and still runs the software that
   /// the call needs.
-  bool canSend(const ActiveCall &Call) const;
+  bool canSend(Time Now, const ActiveCall &Call) const;
   /// Picks one of the route's services at random, by weight.
   std::string pickService(const RouteSpec &Route);
   void rejectNewCall(uint64_t Id, const IncomingCall &Request, unsigned Status,
@@ -255,9 +256,16 @@
   void noteOrigin(Time Now, ActiveCall &Call);
   /// Whether \p U may go on with the call's stream, or begin it.
   static bool mayContinue(const ActiveCall &Call, const UpstreamRecord &U);
-  /// The usable upstreams of the call's service that may run it.
+  /// The usable upstreams of the call's service that may run it, in the present
+  /// or after a pause.
   std::vector<const UpstreamRecord *>
   candidatesFor(const ActiveCall &Call) const;
+  /// Those of candidatesFor() that take requests now.
+  std::vector<const UpstreamRecord *>
+  openCandidatesFor(Time Now, const ActiveCall &Call) const;
+  /// Time until the first of candidatesFor() takes requests; zero if one does
+  /// now or there is none.
+  Duration pauseOf(Time Now, const ActiveCall &Call) const;
 
   // Plain services.
   void placeOnService(Time Now, ActiveCall &Call);
@@ -325,6 +333,10 @@
   void failWithoutUpstream(Time Now, ActiveCall &Call);
   void endCall(Time Now, ActiveCall &Call, std::string_view Outcome);
   Duration retryAfter(Time Now, const ActiveCall &Call);
+  /// The Retry-After time of a rejection for \p Why.
+  Duration retryAfterOf(Time Now, const ActiveCall &Call, EndReason Why);
+  /// A random time in proportion to \p Delay.
+  Duration spread(Duration Delay);
   void schedule(Time When, uint64_t Id);
   void onDue(Time Now, ActiveCall &Call);
   std::string describe(const ActiveCall &Call) const;
@@ -337,6 +349,7 @@
   Random Rand;
   std::shared_ptr<const Catalog> CurrentCatalog;
   LeavingUpstreams Leaving;
+  UpstreamPauses Pauses;
   // Upstreams that are not draining and do not leave, by service.
   std::map<std::string, std::vector<const UpstreamRecord *>> ReadyUpstreams;
   CallMap Calls;
--- a/forward/forwarder_crashes.cc
+++ b/forward/forwarder_crashes.cc
@@ -36,7 +36,8 @@
 
 void Forwarder::noteBroken(Time Now, const ActiveCall &Call) {
   // A draining upstream may end at any time.
-  if (Call.HasOutput || !isUsable(Call.Upstream.Id))
+  if (Call.HasOutput || !isUsable(Call.Upstream.Id) ||
+      !Pauses.allows(Now, Call.Upstream.Id))
     return;
   if (Detector.onBroken(Now, Call.Upstream.Id, Call.Traits))
     Port.probe(Call.Upstream);
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -39,6 +39,8 @@
     return "unknown_origin";
   case EndReason::OriginGone:
     return "origin_gone";
+  case EndReason::Paused:
+    return "paused";
   case EndReason::TooMany:
     return "too_many";
   }
--- a/forward/forwarder_notices.cc
+++ b/forward/forwarder_notices.cc
@@ -7,6 +7,15 @@
 
 void Forwarder::noteNotice(Time Now, const ActiveCall &Call,
                            const UpstreamNotice &Notice) {
+  if (Notice.Pause > Duration(0)) {
+    Pauses.onPause(Now, Call.Upstream.Id, Notice.Pause);
+    Port.log(LogClass::Kept,
+             "upstream_paused upstream=" + Call.Upstream.Id +
+                 " ms=" + std::to_string(Notice.Pause.count() / 1000));
+    onUsableUpstreams(Now);
+  } else {
+    Pauses.onAnswer(Now, Call.Upstream.Id);
+  }
   if (!Notice.Leaving)
     return;
   const std::string &Id =
@@ -35,4 +44,24 @@
     onUsableUpstreams(Now);
 }
 
+std::vector<const UpstreamRecord *>
+Forwarder::openCandidatesFor(Time Now, const ActiveCall &Call) const {
+  std::vector<const UpstreamRecord *> Out = candidatesFor(Call);
+  std::erase_if(
+      Out, [&](const UpstreamRecord *U) { return !Pauses.allows(Now, U->Id); });
+  return Out;
+}
+
+Duration Forwarder::pauseOf(Time Now, const ActiveCall &Call) const {
+  Duration Shortest{};
+  for (const UpstreamRecord *U : candidatesFor(Call)) {
+    const Duration Remaining = Pauses.remaining(Now, U->Id);
+    if (Remaining == Duration(0))
+      return Duration(0);
+    if (Shortest == Duration(0) || Remaining < Shortest)
+      Shortest = Remaining;
+  }
+  return Shortest;
+}
+
 } // namespace goldcrestlink::forward
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -51,6 +51,7 @@
   Call.Position.beginSend();
   Call.TriedUpstreams.insert(Call.Upstream.Id);
   ++Call.Sends;
+  Pauses.onSent(Now, Call.Upstream.Id);
   if (!Call.IsEngine) {
     Balancer.onSent(Call.Upstream.Id);
     Limits.onSent(Now, Call.Upstream.Id);
@@ -305,18 +306,38 @@
                                  : MaxRetryAfter;
   const Duration Base =
       std::clamp(Call.RetryDelay, MinRetryAfter, MaxRetryAfter);
-  const Duration Spread = Duration(static_cast<int64_t>(
-      static_cast<double>(Base.count()) * RetryAfterSpread * Rand.unit()));
-  return std::min(
-      {Base + Spread, MaxRetryAfter, std::max(MinRetryAfter, Remaining / 3)});
+  return std::min({Base + spread(Base), MaxRetryAfter,
+                   std::max(MinRetryAfter, Remaining / 3)});
+}
+
+Duration Forwarder::spread(Duration Delay) {
+  return Duration(static_cast<int64_t>(static_cast<double>(Delay.count()) *
+                                       RetryAfterSpread * Rand.unit()));
 }
 
 void Forwarder::failWithoutUpstream(Time Now, ActiveCall &Call) {
+  if (const Duration Pause = pauseOf(Now, Call); Pause > Duration(0)) {
+    Call.RetryDelay = Pause;
+    return fail(Now, Call, EndReason::Paused);
+  }
   if (upstreamsOf(Call.Service).empty() || !candidatesFor(Call).empty())
     return fail(Now, Call, EndReason::NoUpstream);
   failTakeUp(Now, Call, EndReason::OriginGone);
 }
 
+Duration Forwarder::retryAfterOf(Time Now, const ActiveCall &Call,
+                                 EndReason Why) {
+  switch (Why) {
+  case EndReason::Quarantined:
+    return Crashes.quarantineTime();
+  case EndReason::Paused:
+    // Told in full; the callers do not return all at once.
+    return Call.RetryDelay + spread(Call.RetryDelay);
+  default:
+    return retryAfter(Now, Call);
+  }
+}
+
 void Forwarder::fail(Time Now, ActiveCall &Call, EndReason Why) {
   if (Call.HeadForwarded) {
     Port.answerAbort(Call.Id);
@@ -329,10 +350,7 @@
   }
   if (!Call.MayHaveRun)
     Port.answerWithError(Call.Id, 503, Call.Request.RequestId,
-                         Why == EndReason::Quarantined
-                             ? Crashes.quarantineTime()
-                             : retryAfter(Now, Call),
-                         Why);
+                         retryAfterOf(Now, Call, Why), Why);
   else
     Port.answerWithError(Call.Id, Why == EndReason::TimedOut ? 504 : 502,
                          Call.Request.RequestId, Duration(0), Why);
@@ -405,7 +423,7 @@
     Port.onSideTimeout(Call.Upstream);
     // An engine reliably refuses what it cannot serve, so sending to it without
     // admission by its side is safe.
-    if (Call.UpstreamHoldsAdapter && canSend(Call) &&
+    if (Call.UpstreamHoldsAdapter && canSend(Now, Call) &&
         Limits.allows(Now, Call.Upstream.Id)) {
       Limits.onSent(Now, Call.Upstream.Id);
       return sendTo(
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -254,6 +254,11 @@
   onThread([&] { Impl->at(Name).setLeaving(); });
 }
 
+void PlatformStandIn::setRetryAfter(const std::string &Name,
+                                    const std::string &Seconds) {
+  onThread([&] { Impl->at(Name).setRetryAfter(Seconds); });
+}
+
 void PlatformStandIn::setSoftwareVersion(const std::string &Name,
                                          const std::string &Version) {
   onThread([&] {
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -75,6 +75,9 @@
   /// From now on the upstream's answers say that it leaves, until it is started
   /// again. Its record does not change.
   void setLeaving(const std::string &Name);
+  /// From now on the upstream turns callers' requests away with 503 and this
+  /// Retry-After; empty: it serves them.
+  void setRetryAfter(const std::string &Name, const std::string &Seconds);
   /// Sets the version of the upstream's software and writes its record.
   void setSoftwareVersion(const std::string &Name, const std::string &Version);
   /// From now on upstreams crash on requests with this part in their prompts,
--- a/testing/upstream_notice_test.cc
+++ b/testing/upstream_notice_test.cc
@@ -2,6 +2,7 @@
 // records, that they want no requests.
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <thread>
 
 #include "testing/platform_deployment.h"
@@ -17,22 +18,41 @@
 constexpr int Calls = 30;
 // Several, so that every engine is preferred for one.
 constexpr int Adapters = 6;
+// The platform's bounds on requests to an upstream after it has answered with
+// Retry-After: from when, and how many from each entry.
+constexpr Duration PauseGrace = std::chrono::milliseconds(500);
+constexpr size_t MaxPausedArrivals = 2;
 
 const char *adapterFor(std::string_view Target) {
   return Target.starts_with("/stream/") ? "a1" : "";
 }
 
+// Streams use several adapters in turn.
+http::Response callInTurn(PlatformDeployment &System, size_t Entry,
+                          const char *Target, int I) {
+  return System.call(Entry, Target,
+                     *adapterFor(Target) ? "a" + std::to_string(I % Adapters)
+                                         : "");
+}
+
 // The number of requests that \p Name gets during \p Calls calls through
 // \p Entry.
 size_t arrivals(PlatformDeployment &System, const std::string &Name,
                 size_t Entry, const char *Target) {
   const size_t Before = System.Platform.tally(Name).Arrivals.size();
   for (int I = 0; I < Calls; ++I)
-    System.call(Entry, Target,
-                *adapterFor(Target) ? "a" + std::to_string(I % Adapters) : "");
+    callInTurn(System, Entry, Target, I);
   return System.Platform.tally(Name).Arrivals.size() - Before;
 }
 
+// Requests that reach \p Name later than PauseGrace after \p Since.
+size_t lateArrivals(const PlatformDeployment &System, const std::string &Name,
+                    Time Since) {
+  const std::vector<Time> All = System.Platform.tally(Name).Arrivals;
+  return static_cast<size_t>(std::count_if(
+      All.begin(), All.end(), [&](Time T) { return T > Since + PauseGrace; }));
+}
+
 } // namespace
 
 TEST_CASE("an upstream that says it leaves gets no requests though its record "
@@ -76,3 +96,53 @@
                    MaxWaitSeconds));
   }
 }
+
+TEST_CASE("an upstream that answers with Retry-After gets no requests for so "
+          "long") {
+  struct Row {
+    const char *Target;
+    std::vector<const char *> Upstreams;
+  };
+  for (const Row &R : {Row{"/read/x", {"p", "p1"}}, Row{"/once/x", {"p", "p1"}},
+                       Row{"/stream/x", {"e0", "e1"}}}) {
+    CAPTURE(std::string(R.Target));
+    int I = 0;
+    PlatformDeployment System(2, 2);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, R.Target, adapterFor(R.Target)));
+    System.Platform.setRetryAfter(R.Upstreams[0], "4.5");
+    Time Since = currentTime().Steady;
+    // Brings the entry its pause, then checks that the other upstream serves.
+    CHECK(eventually(
+        [&] {
+          callInTurn(System, 0, R.Target, ++I);
+          return !System.Platform.tally(R.Upstreams[0]).Arrivals.empty() &&
+                 System.Platform.tally(R.Upstreams[0]).Arrivals.back() > Since;
+        },
+        4));
+    Since = System.Platform.tally(R.Upstreams[0]).Arrivals.back();
+    int Served = 0;
+    while (currentTime().Steady < Since + std::chrono::seconds(4))
+      Served += callInTurn(System, 0, R.Target, ++I).Head.Status == 200;
+    CHECK(Served > 0);
+    CHECK(lateArrivals(System, R.Upstreams[0], Since) <= MaxPausedArrivals);
+
+    // All pause: callers are told at once, and are served again later.
+    for (const char *Name : R.Upstreams)
+      System.Platform.setRetryAfter(Name, "3");
+    http::Response Refused;
+    CHECK(eventually(
+        [&] {
+          const Time Begin = currentTime().Steady;
+          Refused = callInTurn(System, 1, R.Target, ++I);
+          return Refused.Body == "paused\n" &&
+                 currentTime().Steady - Begin < std::chrono::seconds(1);
+        },
+        MaxWaitSeconds));
+    CHECK(Refused.Head.Status == 503);
+    CHECK(std::stod("0" + std::string(Refused.Head.header("Retry-After"))) > 0);
+    for (const char *Name : R.Upstreams)
+      System.Platform.setRetryAfter(Name, "");
+    CHECK(System.eventuallyServed(1, R.Target, adapterFor(R.Target)));
+  }
+}
--- a/testing/upstream_standin.cc
+++ b/testing/upstream_standin.cc
@@ -123,6 +123,15 @@
 void UpstreamStandIn::onCallerRequest(const http::Request &Request,
                                       const ResponderPtr &Responder) {
   Tally.Arrivals.push_back(currentTime().Steady);
+  if (!RetryAfter.empty()) {
+    reportRejection(Request);
+    return Responder->respond(
+        503,
+        withNotices({{"Request-Id", std::string(Request.header("Request-Id"))},
+                     {"Not-Executed", "1"},
+                     {"Retry-After", RetryAfter}}),
+        "");
+  }
   Description.IsEngine ? onGeneration(Request, Responder)
                        : onPlain(Request, Responder);
 }
--- a/testing/upstream_standin.h
+++ b/testing/upstream_standin.h
@@ -138,6 +138,9 @@
   /// Every answer says that the upstream leaves, until it is started again. Its
   /// record does not change.
   void setLeaving() { Leaves = true; }
+  /// The upstream turns callers' requests away with this Retry-After, a number
+  /// of seconds; empty: it serves them.
+  void setRetryAfter(std::string Seconds) { RetryAfter = std::move(Seconds); }
   /// Sets when the store began to show the upstream as draining or removed;
   /// Time{} if it shows the upstream as ready.
   void setDraining(Time Since) { DrainingSince = Since; }
@@ -198,6 +201,7 @@
   UpstreamTally Tally;
   UpstreamFault Fault = UpstreamFault::None;
   std::string Limit;
+  std::string RetryAfter;
   std::string SoftwareVersion = "v1";
   Time DrainingSince{};
   bool Leaves = false;
