--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -164,7 +164,7 @@
                                 ? Request.TimeLeft
                                 : Opts.defaultTimeLeft();
   Call.Deadline = Now + std::min(TimeLeft, Route->Timeout);
-  if (Call.Streaming)
+  if (Call.Repeat == Repeatability::ResumableStream)
     Call.Position.startAfter(Request.AfterEvent);
   Call.Request = std::move(Request);
   Call.Traits = std::move(Traits);
--- a/testing/stream_version_test.cc
+++ b/testing/stream_version_test.cc
@@ -22,7 +22,7 @@
 std::string engineOf(const PlatformDeployment &System, int Engines,
                      const std::string &RequestId) {
   for (int I = 0; I < Engines; ++I) {
-    const std::string Name = "e" + std::to_string(I);
+    std::string Name = "e" + std::to_string(I);
     const std::vector<std::string> Ran = System.Platform.tally(Name).Ran;
     if (!Ran.empty() && Ran.back() == RequestId)
       return Name;
