--- a/forward/event_splitter.cc
+++ b/forward/event_splitter.cc
@@ -23,25 +23,7 @@
     Complete = Partial.substr(0, End);
     Partial.erase(0, End);
   }
-  updateLastId(Complete);
   return Complete;
 }
 
-void EventSplitter::updateLastId(std::string_view Events) {
-  // Only the last "id:" line matters.
-  size_t At = Events.rfind("\nid:");
-  if (At == std::string_view::npos) {
-    if (!Events.starts_with("id:"))
-      return;
-    At = 3;
-  } else {
-    At += 4;
-  }
-  size_t End = Events.find_first_of("\r\n", At);
-  std::string_view Id = Events.substr(At, End - At);
-  while (Id.starts_with(' '))
-    Id.remove_prefix(1);
-  LastId = std::string(Id);
-}
-
 } // namespace goldcrestlink::forward
--- a/forward/event_splitter.h
+++ b/forward/event_splitter.h
@@ -1,9 +1,8 @@
 // Splits a stream of server-sent events at event boundaries, so that only
-// complete events reach a caller, and records the last event's id.
+// complete events reach a caller.
 //
 //   EventSplitter S;
 //   std::string Complete = S.feed(Bytes);   // events completed by these bytes
-//   S.lastId();
 #ifndef GOLDCRESTLINK_FORWARD_EVENT_SPLITTER_H
 #define GOLDCRESTLINK_FORWARD_EVENT_SPLITTER_H
 
@@ -17,18 +16,13 @@
 public:
   /// Appends \p Bytes and returns the events that are complete as a result.
   std::string feed(std::string_view Bytes);
-  /// Id of the last complete event that had one; empty if none had.
-  const std::string &lastId() const { return LastId; }
   /// Number of bytes held of an incomplete event.
   size_t pending() const { return Partial.size(); }
   /// Discards an incomplete event, whose upstream has failed.
   void dropPartial() { Partial.clear(); }
 
 private:
-  void updateLastId(std::string_view Events);
-
   std::string Partial;
-  std::string LastId;
 };
 
 } // namespace goldcrestlink::forward
--- a/forward/forwarder_origins.cc
+++ b/forward/forwarder_origins.cc
@@ -23,6 +23,9 @@
 // is longer.
 constexpr Duration OriginTimeout = std::chrono::milliseconds(300);
 constexpr Duration SecondOriginTimeout = std::chrono::milliseconds(900);
+// Another try soon would end likewise. Longer than any Retry-After time, which
+// retryAfter() bounds.
+constexpr Duration FailedTakeUpDelay = std::chrono::minutes(1);
 } // namespace
 
 bool Forwarder::takesUp(const ActiveCall &Call) {
@@ -101,8 +104,7 @@
 }
 
 void Forwarder::failTakeUp(Time Now, ActiveCall &Call, EndReason Why) {
-  // Another try soon would end likewise.
-  Call.RetryDelay = Duration::max() / 4;
+  Call.RetryDelay = FailedTakeUpDelay;
   fail(Now, Call, Why);
 }
 
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -151,9 +151,8 @@
   if (!Complete.empty()) {
     noteOutput(Now, *Call);
     Call->CurrentStage = Stage::Streaming;
-    if (!Call->HeadForwarded)
-      noteOrigin(Now, *Call);
     if (!Call->HeadForwarded) {
+      noteOrigin(Now, *Call);
       Call->HeadForwarded = true;
       Port.answerBegin(Call->Id, Call->Head.Status, Call->Head.Fields);
     }
--- a/forward/leaving_upstreams.h
+++ b/forward/leaving_upstreams.h
@@ -32,7 +32,8 @@
 class LeavingUpstreams {
 public:
   static constexpr size_t MaxUpstreams = 4096;
-  /// From the first notice; the platform's upstreams exit within seconds.
+  /// From the first notice of an incarnation; the platform's upstreams exit
+  /// within seconds.
   static constexpr Duration Lifetime = std::chrono::minutes(10);
 
   /// Returns true if this was not known. The oldest notices make room.
--- a/forward/testing/parts_test.cc
+++ b/forward/testing/parts_test.cc
@@ -65,7 +65,6 @@
     for (size_t At = 0; At < Text.size(); At += Size)
       Complete += S.feed(std::string_view(Text).substr(At, Size));
     CHECK(Complete == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    CHECK(S.lastId() == "2");
     CHECK(S.pending() == std::string_view("id: 10\nda").size());
   }
 }
