Keep to a notice of leaving that comes before the upstream's record (DRAIN)

Callers saw: requests reached an upstream after it had said that it leaves.

Cause: the start of the incarnation that a notice concerns was taken from the catalog, or from the record that the call was placed by, though the answer may name another id (a 421 of the next upstream at the address does). Once the record with the real start arrived, the notice no longer covered it.

Evidence: upstream_notice_test 'an upstream that says it leaves before its record is known gets no requests' (real programs, one upstream of two) fails on: 'CHECK( Reached == 0 ) is NOT correct', and passes now.

An unknown start now stays unknown until a record names it; until then the notice covers every incarnation of the id, and from then on that one. Sides give notices the start of their engine. The old rule could also attribute the start of another upstream.

Class of fault: an identity that is completed from whatever is at hand.

--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -149,6 +149,8 @@
     std::erase_if(Upstreams, [&](const forward::UpstreamIncarnation &U) {
       return !Leaving.add(Now, U);
     });
+    if (!InstanceId.empty())
+      Leaving.onRecord({InstanceId, StartedMs});
     for (const forward::UpstreamIncarnation &U : Upstreams)
       Control.log("upstream_leaving upstream=" + U.Id +
                   " started_ms=" + std::to_string(U.StartedMs));
@@ -433,6 +435,7 @@
                    if (!R)
                      return;
                    InstanceId = platform::decodeInstanceId(R->Head);
+                   Leaving.onRecord({InstanceId, StartedMs});
                    onEngineAnswer(now(), R->Head);
                    Control.log("engine id=" + InstanceId +
                                " started_ms=" + std::to_string(StartedMs));
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -46,6 +46,8 @@
   Balancer.retain(CurrentCatalog->upstreams());
   Limits.retain(CurrentCatalog->upstreams());
   Pauses.retain(CurrentCatalog->upstreams());
+  for (const auto &[Id, U] : CurrentCatalog->upstreams())
+    Leaving.onRecord({Id, U.StartedMs});
   onUsableUpstreams(Now);
 }
 
--- a/forward/forwarder_notices.cc
+++ b/forward/forwarder_notices.cc
@@ -21,9 +21,11 @@
   const std::string &Id =
       Notice.InstanceId.empty() ? Call.Upstream.Id : Notice.InstanceId;
   const auto It = CurrentCatalog->upstreams().find(Id);
-  const UpstreamIncarnation Left{Id, It == CurrentCatalog->upstreams().end()
-                                         ? Call.Upstream.StartedMs
-                                         : It->second.StartedMs};
+  UpstreamIncarnation Left{Id};
+  if (It != CurrentCatalog->upstreams().end())
+    Left.StartedMs = It->second.StartedMs;
+  else if (Id == Call.Upstream.Id)
+    Left.StartedMs = Call.Upstream.StartedMs;
   if (Leaving.contains(Left))
     return;
   Port.shareLeaving(Left);
@@ -37,6 +39,8 @@
     if (!Leaving.add(Now, U))
       continue;
     IsNews = true;
+    if (CurrentCatalog && CurrentCatalog->upstreams().contains(U.Id))
+      Leaving.onRecord({U.Id, CurrentCatalog->upstreams().at(U.Id).StartedMs});
     Port.log(LogClass::Kept, "upstream_leaving upstream=" + U.Id +
                                  " started_ms=" + std::to_string(U.StartedMs));
   }
--- a/forward/leaving_upstreams.cc
+++ b/forward/leaving_upstreams.cc
@@ -21,6 +21,12 @@
   return true;
 }
 
+void LeavingUpstreams::onRecord(const UpstreamIncarnation &Known) {
+  if (const auto It = StartedMs.find(Known.Id);
+      It != StartedMs.end() && It->second == 0)
+    It->second = Known.StartedMs;
+}
+
 void LeavingUpstreams::expire(Time Now) {
   while (!Order.empty() && Now - Order.front().first > Lifetime) {
     StartedMs.erase(Order.front().second);
@@ -30,7 +36,8 @@
 
 bool LeavingUpstreams::contains(const UpstreamIncarnation &Asked) const {
   const auto It = StartedMs.find(Asked.Id);
-  return It != StartedMs.end() && It->second >= Asked.StartedMs;
+  return It != StartedMs.end() &&
+         (It->second == 0 || It->second >= Asked.StartedMs);
 }
 
 std::vector<UpstreamIncarnation> LeavingUpstreams::all() const {
--- a/forward/leaving_upstreams.h
+++ b/forward/leaving_upstreams.h
@@ -22,7 +22,8 @@
 /// One start of an upstream. An upstream may start again under its id.
 struct UpstreamIncarnation {
   std::string Id;
-  /// Unix time of the start in milliseconds; 0 if not known.
+  /// Unix time of the start in milliseconds; 0 if not known. A notice with an
+  /// unknown start concerns the first start that a record names.
   uint64_t StartedMs = 0;
 
   bool operator==(const UpstreamIncarnation &) const = default;
@@ -38,6 +39,9 @@
 
   /// Returns true if this was not known. The oldest notices make room.
   bool add(Time Now, const UpstreamIncarnation &Leaving);
+  /// A record names the start of this incarnation. Gives it to a notice that
+  /// came before the record.
+  void onRecord(const UpstreamIncarnation &Known);
   /// Removes expired notices. To be called at least every few seconds.
   void expire(Time Now);
 
@@ -46,7 +50,7 @@
   std::vector<UpstreamIncarnation> all() const;
 
 private:
-  // Start of the latest incarnation that leaves, by id.
+  // Start of the latest incarnation that leaves, by id; 0 if not known.
   std::map<std::string, uint64_t> StartedMs;
   // In the order in which the ids were added.
   std::deque<std::pair<Time, std::string>> Order;
--- a/forward/testing/leaving_upstreams_test.cc
+++ b/forward/testing/leaving_upstreams_test.cc
@@ -25,6 +25,22 @@
   CHECK(L.all() == std::vector<UpstreamIncarnation>{{"a", 6}});
 }
 
+TEST_CASE(
+    "a notice with an unknown start covers the first start that is known") {
+  LeavingUpstreams L;
+  CHECK(L.add(at(0), {"a", 0}));
+  CHECK_FALSE(L.add(at(0), {"a", 0}));
+  CHECK(L.contains({"a", 0}));
+  CHECK(L.contains({"a", 5}));
+  L.onRecord({"a", 5});
+  CHECK(L.contains({"a", 5}));
+  CHECK_FALSE(L.contains({"a", 6}));
+  L.onRecord({"a", 6});
+  CHECK_FALSE(L.contains({"a", 6}));
+  L.onRecord({"b", 7});
+  CHECK_FALSE(L.contains({"b", 7}));
+}
+
 TEST_CASE("notices of upstreams that leave expire and are bounded in number") {
   LeavingUpstreams L;
   for (size_t I = 0; I <= LeavingUpstreams::MaxUpstreams; ++I)
--- a/testing/upstream_notice_test.cc
+++ b/testing/upstream_notice_test.cc
@@ -3,9 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <thread>
 
 #include "testing/platform_deployment.h"
+#include "testing/raw_upstream.h"
 
 using namespace goldcrestlink;
 using namespace goldcrestlink::testing;
@@ -146,3 +148,41 @@
     CHECK(System.eventuallyServed(1, R.Target, adapterFor(R.Target)));
   }
 }
+
+TEST_CASE("an upstream that says it leaves before its record is known gets no "
+          "requests") {
+  std::atomic<int> Rejected{0};
+  std::atomic<int> Reached{0};
+  RawUpstream Next("127.0.3.9", [&](RawConnection &C) {
+    while (C.readRequest()) {
+      if (C.requestId().empty())
+        return;
+      const bool IsMeant = C.field("Expect-Instance") == "next";
+      ++(IsMeant ? Reached : Rejected);
+      C.write("HTTP/1.1 421 Misdirected\r\nRequest-Id: " + C.requestId() +
+              "\r\nInstance-Id: next\r\nServer-Leaving: 1\r\n"
+              "Content-Length: 0\r\n\r\n");
+    }
+  });
+  PlatformDeployment System(1, 1);
+  for (const size_t Entry : {0, 1})
+    REQUIRE(System.eventuallyServed(Entry, "/read/x"));
+  // The address is that of an upstream whose end is not known yet.
+  System.Platform.putUpstream("last", "plain", Next.endpoint());
+  CHECK(eventually(
+      [&] {
+        System.call(0, "/read/x");
+        return Rejected > 0;
+      },
+      MaxWaitSeconds));
+  std::this_thread::sleep_for(DrainTime);
+  System.Platform.putUpstreamText(
+      "next", R"({"service":"plain","zone":"z","state":"ready","born":5,)"
+              R"("address":")" +
+                  Next.endpoint().text() + "\"}");
+  std::this_thread::sleep_for(DrainTime);
+  for (int I = 0; I < Calls; ++I)
+    for (const size_t Entry : {0, 1})
+      System.call(Entry, "/read/x");
+  CHECK(Reached == 0);
+}
