--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -18,6 +18,7 @@
 #include "daemon/admission_codec.h"
 #include "daemon/catalog_exchange.h"
 #include "daemon/crash_codec.h"
+#include "daemon/crash_probe.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/leaving_codec.h"
 #include "daemon/origin_codec.h"
@@ -25,7 +26,6 @@
 #include "forward/forwarder.h"
 #include "forward/origin_keepers.h"
 #include "http/client.h"
-#include "http/connection_check.h"
 #include "http/server.h"
 #include "platform/call_headers.h"
 
@@ -301,12 +301,10 @@
 
   void probe(const UpstreamRecord &Upstream) override {
     Metrics.count("crash_probes_total");
-    http::checkConnection(
-        Io, Upstream.Address, ConnectTimeout,
-        [this, Id = Upstream.Id](http::ConnectionCheck Result) {
-          Forwarder.onProbe(now(), Id,
-                            Result == http::ConnectionCheck::Refused);
-        });
+    probeForCrash(Io, Upstream.Address, ConnectTimeout,
+                  [this, Id = Upstream.Id](forward::ProbeResult Result) {
+                    Forwarder.onProbe(now(), Id, Result);
+                  });
   }
 
   void shareCrash(const forward::CrashReport &Report) override {
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -48,6 +48,7 @@
   Pauses.retain(CurrentCatalog->upstreams());
   for (const auto &[Id, U] : CurrentCatalog->upstreams())
     Leaving.onRecord({Id, U.StartedMs});
+  findCrashes(Now);
   onUsableUpstreams(Now);
 }
 
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -114,9 +114,8 @@
   void onData(Time Now, SendId Send, std::string Part);
   void onDone(Time Now, SendId Send);
   void onError(Time Now, SendId Send, SendError Error, std::string_view Why);
-  /// The result of ForwardPort::probe(). \p Refused: the upstream refused the
-  /// connection.
-  void onProbe(Time Now, const std::string &UpstreamId, bool Refused);
+  /// The result of ForwardPort::probe().
+  void onProbe(Time Now, const std::string &UpstreamId, ProbeResult Result);
   /// Another entry has observed a crash. Returns those of its traits that have
   /// recently produced output here, to be passed to the other entries.
   std::vector<TraitOutput> onCrashReport(Time Now, const CrashReport &Report);
@@ -315,6 +314,12 @@
   /// The present send of \p Call broke; requests a probe if its upstream may
   /// have crashed on the call.
   void noteBroken(Time Now, const ActiveCall &Call);
+  /// Looks for upstreams that have crashed in the new catalog.
+  void findCrashes(Time Now);
+  /// Probes upstreams once more that may have crashed.
+  void probeAgain(Time Now);
+  /// This entry has observed a crash.
+  void onCrash(Time Now, const std::string &UpstreamId, CrashReport Report);
   /// The present send of \p Call has produced output.
   void noteOutput(Time Now, ActiveCall &Call);
   /// This entry has quarantined \p Traits.
--- a/forward/forwarder_crashes.cc
+++ b/forward/forwarder_crashes.cc
@@ -35,18 +35,33 @@
 } // namespace
 
 void Forwarder::noteBroken(Time Now, const ActiveCall &Call) {
-  // A draining upstream may end at any time.
-  if (Call.HasOutput || !isUsable(Call.Upstream.Id) ||
-      !Pauses.allows(Now, Call.Upstream.Id))
+  // An upstream that leaves may end at any time.
+  const auto It = CurrentCatalog->upstreams().find(Call.Upstream.Id);
+  const bool IsDraining =
+      It != CurrentCatalog->upstreams().end() && It->second.Draining;
+  if (Call.HasOutput || IsDraining ||
+      Leaving.contains({Call.Upstream.Id, Call.Upstream.StartedMs}))
     return;
-  if (Detector.onBroken(Now, Call.Upstream.Id, Call.Traits))
+  if (Detector.onBroken(Now, Call.Upstream, Call.Traits))
     Port.probe(Call.Upstream);
 }
 
+void Forwarder::findCrashes(Time Now) {
+  for (ObservedCrash &C :
+       Detector.onUpstreams(Now, CurrentCatalog->upstreams()))
+    onCrash(Now, C.UpstreamId, std::move(C.Report));
+}
+
+void Forwarder::probeAgain(Time Now) {
+  for (const UpstreamRecord &U : Detector.dueProbes(Now))
+    Port.probe(U);
+}
+
 void Forwarder::noteOutput(Time Now, ActiveCall &Call) {
   if (Call.HasOutput)
     return;
   Call.HasOutput = true;
+  Detector.onOutput(Call.Upstream.Id, Call.SentAt);
   const std::vector<RequestTrait> Cleared = Crashes.onOutput(Now, Call.Traits);
   if (Cleared.empty())
     return;
@@ -58,14 +73,18 @@
   Port.shareOutput(Outputs);
 }
 
-void Forwarder::onProbe(Time Now, const std::string &UpstreamId, bool Refused) {
-  std::optional<CrashReport> Report =
-      Detector.onProbe(Now, UpstreamId, Refused);
-  if (!Report)
-    return;
-  const CrashAttribution::Result Result = Crashes.onCrash(Now, *Report);
+void Forwarder::onProbe(Time Now, const std::string &UpstreamId,
+                        ProbeResult Result) {
+  if (std::optional<CrashReport> Report =
+          Detector.onProbe(Now, UpstreamId, Result))
+    onCrash(Now, UpstreamId, std::move(*Report));
+}
+
+void Forwarder::onCrash(Time Now, const std::string &UpstreamId,
+                        CrashReport Report) {
+  const CrashAttribution::Result Result = Crashes.onCrash(Now, Report);
   // The other entries have recent output of such traits as well.
-  std::erase_if(Report->Traits, [&](const RequestTrait &T) {
+  std::erase_if(Report.Traits, [&](const RequestTrait &T) {
     return std::any_of(Result.Cleared.begin(), Result.Cleared.end(),
                        [&](const TraitOutput &O) {
                          return O.Trait == T && O.Age < BusyOutputInterval;
@@ -74,9 +93,10 @@
   Port.log(LogClass::Kept,
            "upstream_crashed upstream=" + UpstreamId +
                " cleared=" + std::to_string(Result.Cleared.size()) +
-               " suspect=" + traitList(Report->Traits));
-  if (!Report->Traits.empty())
-    Port.shareCrash(*Report);
+               " age_ms=" + std::to_string(Report.Age.count() / 1000) +
+               " suspect=" + traitList(Report.Traits));
+  if (!Report.Traits.empty())
+    Port.shareCrash(Report);
   onNewVerdicts(Now, Result.Quarantined);
 }
 
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -199,7 +199,9 @@
 
 void Forwarder::onComplete(Time Now, ActiveCall &Call) {
   const unsigned Status = Call.Head.Status;
-  noteOutput(Now, Call);
+  // An unsigned failure may come from something else at the address.
+  if (Call.Head.Signed)
+    noteOutput(Now, Call);
   finishSend(Now, Call, Status >= 500);
   const std::string Service = Call.Service;
   const bool IsPlain = !Call.IsEngine;
@@ -386,6 +388,7 @@
     Crashes.expire(Now);
     Leaving.expire(Now);
   }
+  probeAgain(Now);
   // The limits of upstreams allow further requests as time passes.
   for (const auto &[Service, Queue] : Queues)
     sendQueued(Now, Service);
