--- a/daemon/crash_relay.cc
+++ b/daemon/crash_relay.cc
@@ -8,6 +8,9 @@
 namespace {
 constexpr Duration OutputInterval = std::chrono::milliseconds(500);
 constexpr size_t MaxRelayedOutputs = 4096;
+// As long as entries suspect a trait.
+const Duration SuspicionTime =
+    forward::CrashAttribution::Options().suspicionTime();
 } // namespace
 
 bool CrashRelay::handles(const wire::Envelope &Message) {
@@ -17,10 +20,18 @@
 
 std::optional<wire::Envelope>
 CrashRelay::onMessage(Time Now, const wire::Envelope &Message) {
-  if (Message.has_crash_report())
+  if (Message.has_crash_report()) {
+    const forward::CrashReport Report =
+        decodeCrashReport(Message.crash_report());
+    Reports.push_back({Report, Now - Report.Age});
+    if (Reports.size() > MaxReports)
+      Reports.pop_front();
     return Message;
-  if (Message.has_trait_output())
+  }
+  if (Message.has_trait_output()) {
+    clearReports(Now, Message.trait_output());
     return relayOutput(Now, Message.trait_output());
+  }
   if (!Message.has_trait_verdicts())
     return std::nullopt;
   const uint64_t Before = Verdicts.digest();
@@ -54,6 +65,36 @@
   return encodeVerdicts(Verdicts.verdicts(Now), Verdicts.digest());
 }
 
-void CrashRelay::onTimer(Time Now) { Verdicts.expire(Now); }
+void CrashRelay::clearReports(Time Now, const wire::TraitOutput &Message) {
+  for (const forward::TraitOutput &O : decodeOutput(Message)) {
+    const Time OutputAt = Now - O.Age;
+    for (StoredReport &R : Reports)
+      if (R.CrashedAt <= OutputAt)
+        std::erase_if(R.Report.Traits, [&](const forward::RequestTrait &T) {
+          return T.Hash == O.Trait.Hash;
+        });
+  }
+  std::erase_if(Reports,
+                [](const StoredReport &R) { return R.Report.Traits.empty(); });
+}
+
+std::vector<wire::Envelope> CrashRelay::state(Time Now) const {
+  std::vector<wire::Envelope> Out;
+  if (Verdicts.verdictCount() > 0)
+    Out.push_back(encodeVerdicts(Verdicts.verdicts(Now), Verdicts.digest()));
+  for (const StoredReport &R : Reports) {
+    forward::CrashReport Aged = R.Report;
+    Aged.Age = Now - R.CrashedAt;
+    Out.push_back(encodeCrashReport(Aged));
+  }
+  return Out;
+}
+
+void CrashRelay::onTimer(Time Now) {
+  Verdicts.expire(Now);
+  std::erase_if(Reports, [&](const StoredReport &R) {
+    return Now - R.CrashedAt > SuspicionTime;
+  });
+}
 
 } // namespace goldcrestlink
--- a/daemon/crash_relay.h
+++ b/daemon/crash_relay.h
@@ -8,17 +8,22 @@
 #ifndef GOLDCRESTLINK_DAEMON_CRASH_RELAY_H
 #define GOLDCRESTLINK_DAEMON_CRASH_RELAY_H
 
+#include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 #include "daemon/crash_codec.h"
 
 namespace goldcrestlink {
 
-/// Not thread-safe. Memory is bounded by the verdicts and by
+/// Not thread-safe. Memory is bounded by the verdicts, MaxReports and
 /// MaxRelayedOutputs.
 class CrashRelay {
 public:
+  /// Crash reports that are kept, the latest ones.
+  static constexpr size_t MaxReports = 32;
+
   /// Whether \p Message is for a relay.
   static bool handles(const wire::Envelope &Message);
   /// Processes a message of an entry. Returns the message for the other
@@ -29,6 +34,9 @@
   /// verdicts differ; the entry then sends its own.
   std::optional<wire::Envelope> onDigest(Time Now,
                                          const wire::BeliefRevisions &Digest);
+  /// The messages for an entry that may have just started: verdicts, and the
+  /// crashes that they do not explain.
+  std::vector<wire::Envelope> state(Time Now) const;
   /// To be called at least every few seconds.
   void onTimer(Time Now);
 
@@ -39,6 +47,15 @@
   std::optional<wire::Envelope> relayOutput(Time Now,
                                             const wire::TraitOutput &Message);
 
+  struct StoredReport {
+    forward::CrashReport Report;
+    Time CrashedAt;
+  };
+  /// Requests with these traits had output: they did not cause earlier crashes.
+  void clearReports(Time Now, const wire::TraitOutput &Message);
+
+  // In the order of arrival.
+  std::deque<StoredReport> Reports;
   forward::CrashAttribution Verdicts{forward::CrashAttribution::Options()};
   // When the output of a trait was last passed on.
   std::unordered_map<uint64_t, Time> RelayedOutputs;
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -132,7 +132,7 @@
                    http::Responder &Answer) const {
     if (!platform::isReadinessCheck(Request))
       return Answer.respond(404, {}, "");
-    Answer.respond(!Stopping && Forwarder.hasConfig() ? 200 : 503, {}, "");
+    Answer.respond(!Stopping && Forwarder.isReady(now()) ? 200 : 503, {}, "");
   }
 
   // ForwardPort.
@@ -492,6 +492,8 @@
       const std::string &Named = Message.engine_load().upstream();
       Forwarder.onLoad(Now, Named.empty() ? Id : Named,
                        decodeLoad(Message.engine_load()));
+      // A side sends its load after everything else that it knows.
+      Forwarder.onSideState();
       onEntries(Message.engine_load().entries());
     }
   }
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -104,7 +104,8 @@
 
   void onEntryMessage(const std::string &Peer, wire::Envelope &Message) {
     const Time Now = now();
-    const bool IsNew = LastSeen.insert_or_assign(Peer, Now).second;
+    if (LastSeen.insert_or_assign(Peer, Now).second)
+      welcome(Now, Peer);
     if (Message.has_admission_ask())
       onAdmissionRequest(Now,
                          decodeAdmissionRequest(Message.admission_ask(), Peer));
@@ -119,10 +120,6 @@
     else if (!onOriginMessage(Now, Peer, Message) &&
              !onCrashMessage(Now, Peer, Message))
       onCatalogMessage(Now, Peer, Message);
-    if (IsNew) {
-      sendLoad(Peer, Admission.load(Now));
-      sendLeaving(Peer);
-    }
     requestReport(Now);
     rearmTickIfBusy();
   }
@@ -158,13 +155,16 @@
       sendToOthers(From, encodeLeaving(Upstreams));
   }
 
-  // To an entry that may have started after the notices.
-  void sendLeaving(const std::string &Peer) {
-    const std::vector<forward::UpstreamIncarnation> All = Leaving.all();
-    if (All.empty())
-      return;
-    wire::Envelope E = encodeLeaving(All);
-    send(Peer, E);
+  // Sends an entry that may have just started what the other entries know. The
+  // load comes last, and so shows that the rest has arrived.
+  void welcome(Time Now, const std::string &Peer) {
+    for (wire::Envelope &E : Relay.state(Now))
+      send(Peer, E);
+    if (const auto All = Leaving.all(); !All.empty()) {
+      wire::Envelope E = encodeLeaving(All);
+      send(Peer, E);
+    }
+    sendLoad(Peer, Admission.load(Now));
   }
 
   // The engine has answered a request of this process.
--- a/forward/crash_attribution.cc
+++ b/forward/crash_attribution.cc
@@ -21,8 +21,6 @@
 constexpr size_t MaxObserved = 64;
 // Two traits that were together in so many crashes may both be the cause.
 constexpr size_t MinCommonCrashes = 2;
-// Reports that took longer to arrive are ignored.
-constexpr Duration MaxReportAge = std::chrono::seconds(10);
 // A quarantine is prolonged at most this often, so that its expiry, which is
 // part of no digest, is not changed by every request.
 constexpr Duration ProlongInterval = std::chrono::seconds(10);
@@ -99,13 +97,18 @@
     return;
   if (S.Crashes.size() >= MaxCrashes)
     S.Crashes.erase(S.Crashes.begin());
-  S.Crashes.push_back(C);
+  S.Crashes.insert(std::upper_bound(S.Crashes.begin(), S.Crashes.end(), C,
+                                    [](const Crash &A, const Crash &B) {
+                                      return A.At < B.At;
+                                    }),
+                   C);
 }
 
 CrashAttribution::Result CrashAttribution::onCrash(Time Now,
                                                    const CrashReport &Report) {
   Result Out;
-  if (Report.Age > MaxReportAge)
+  // An entry that has just started is told of earlier crashes.
+  if (Report.Age > Opts.suspicionTime())
     return Out;
   const Crash C{Report.Upstream, Now - std::max(Duration(0), Report.Age)};
   if (std::none_of(Observed.begin(), Observed.end(),
--- a/forward/forward_port.h
+++ b/forward/forward_port.h
@@ -19,6 +19,8 @@
 /// Why a call ended without an upstream's answer being forwarded.
 enum class EndReason {
   NoConfig,
+  /// The entry has just started and does not know yet what the others know.
+  Starting,
   NoRoute,
   BadRequest,
   NoUpstream,
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -23,6 +23,9 @@
 // Retry-After time while no configuration is known or too many calls are in
 // progress.
 constexpr Duration RejectionRetryAfter = std::chrono::milliseconds(500);
+// Retry-After time while the entry waits for the state of a side, which takes a
+// few milliseconds.
+constexpr Duration StartRetryAfter = std::chrono::milliseconds(100);
 // Minimum time between prefetch requests for an adapter to the same engine.
 constexpr Duration PrefetchInterval = std::chrono::seconds(1);
 // When the times of this many prefetch requests are stored, all are dropped.
@@ -49,6 +52,8 @@
   for (const auto &[Id, U] : CurrentCatalog->upstreams())
     Leaving.onRecord({Id, U.StartedMs});
   findCrashes(Now);
+  if (hasConfig())
+    Gate.onCatalog(Now, hasEngines());
   onUsableUpstreams(Now);
 }
 
@@ -72,6 +77,14 @@
     sendQueued(Now, Service);
 }
 
+bool Forwarder::hasEngines() const {
+  const auto &All = CurrentCatalog->upstreams();
+  return std::any_of(All.begin(), All.end(), [&](const auto &Item) {
+    const ServiceSpec *Spec = CurrentCatalog->service(Item.second.Service);
+    return Spec && Spec->IsEngine;
+  });
+}
+
 const std::vector<const UpstreamRecord *> &
 Forwarder::upstreamsOf(const std::string &Service) const {
   static const std::vector<const UpstreamRecord *> None;
@@ -138,6 +151,9 @@
   if (!hasConfig())
     return rejectNewCall(Id, Request, 503, RejectionRetryAfter,
                          EndReason::NoConfig);
+  if (!isReady(Now))
+    return rejectNewCall(Id, Request, 503, StartRetryAfter,
+                         EndReason::Starting);
   const std::string_view Path =
       std::string_view(Request.Target).substr(0, Request.Target.find('?'));
   const RouteSpec *Route = CurrentCatalog->route(Request.Host, Path);
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -30,6 +30,7 @@
 #include "forward/forward_port.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
+#include "forward/start_gate.h"
 #include "forward/stream_position.h"
 #include "forward/upstream_limits.h"
 #include "forward/upstream_pauses.h"
@@ -108,6 +109,8 @@
   void onAdmission(Time Now, const std::string &UpstreamId,
                    uint64_t AdmissionId, const AdmissionReply &Reply);
   void onLoad(Time Now, const std::string &UpstreamId, const EngineLoad &Load);
+  /// A side has sent all that it knows of crashes and of upstreams that leave.
+  void onSideState() { Gate.onSideState(); }
   /// \p Count is the number of live entries, this one included.
   void onEntries(Time Now, size_t Count);
   void onHead(Time Now, SendId Send, AnswerHead Head);
@@ -141,6 +144,9 @@
   bool hasConfig() const {
     return CurrentCatalog && CurrentCatalog->config() != nullptr;
   }
+  /// Whether calls are placed, and not rejected because the entry has just
+  /// started.
+  bool isReady(Time Now) const { return hasConfig() && Gate.isOpen(Now); }
 
 private:
   enum class Stage {
@@ -221,6 +227,8 @@
 
   const std::vector<const UpstreamRecord *> &
   upstreamsOf(const std::string &Service) const;
+  /// Whether there are engines, and so sides.
+  bool hasEngines() const;
   bool isUsable(const std::string &UpstreamId) const;
   bool isUsable(const UpstreamRecord &U) const;
   /// Determines anew which upstreams may get requests, and places calls again
@@ -366,6 +374,7 @@
   ServiceBalancer Balancer;
   UpstreamLimits Limits;
   StreamOrigins Origins{StreamOrigins::Options()};
+  StartGate Gate;
   CrashDetector Detector;
   CrashAttribution Crashes;
   // Calls in progress that are isolated, at most one.
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -15,6 +15,8 @@
   switch (Reason) {
   case EndReason::NoConfig:
     return "no_config";
+  case EndReason::Starting:
+    return "starting";
   case EndReason::NoRoute:
     return "no_route";
   case EndReason::BadRequest:
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -173,6 +173,7 @@
 struct Entry {
   Entry() : Machine(Forwarder::Options(), Port, 7) {
     Machine.onCatalog(at(0), deployment());
+    Machine.onSideState();
   }
 
   static IncomingCall incoming(const std::string &Target,
--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include <future>
+#include <thread>
 
 #include "testing/platform_deployment.h"
 
@@ -17,6 +18,9 @@
 // The platform's bound for a repeated request: three more after the third.
 constexpr int MaxCrashesOfOneRequest = 6;
 
+// A caller repeats a request that fails.
+constexpr auto RepeatInterval = std::chrono::milliseconds(2000);
+
 // A sound request is not held up for longer than a restart of its upstream.
 constexpr double MaxSoundWaitSeconds = 10;
 
@@ -24,6 +28,18 @@
   return Target.starts_with("/stream/") ? "a1" : "";
 }
 
+// Sends a deadly request \p Times, through the entries in turn, each time when
+// an upstream serves.
+void repeatDeadly(PlatformDeployment &System, const char *Target, int Times,
+                  std::chrono::milliseconds Interval = {}) {
+  for (int I = 0; I < Times; ++I) {
+    std::this_thread::sleep_for(Interval);
+    // Without an upstream, a request cannot crash one.
+    CHECK(System.eventuallyServed(0, Target, adapterFor(Target)));
+    System.call(static_cast<size_t>(I % 2), Target, adapterFor(Target), "dead");
+  }
+}
+
 // A prompt whose last part is its own.
 std::string promptWith(const std::string &Part, int Own) {
   return "a0:100," + Part + ":50,f" + std::to_string(Own) + ":20";
@@ -166,3 +182,69 @@
     CHECK(System.Platform.crashesByRequests() <= MaxCrashesOfOneRequest);
   }
 }
+
+TEST_CASE("a deadly request is held whatever the probe of a crashed upstream "
+          "meets") {
+  for (const CrashKind How : {CrashKind::Refused, CrashKind::AcceptedForAWhile,
+                              CrashKind::BackAtOnce})
+    for (const char *Target : {"/once/x", "/read/x", "/stream/x"}) {
+      CAPTURE(static_cast<int>(How));
+      CAPTURE(std::string(Target));
+      PlatformDeployment System(3, 3);
+      for (const size_t Entry : {0, 1})
+        REQUIRE(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+      System.Platform.setDeadly("", "dead", How);
+      // Crashes of one upstream in quick succession count as one.
+      repeatDeadly(System, Target, 8,
+                   How == CrashKind::BackAtOnce ? RepeatInterval
+                                                : RepeatInterval * 0);
+      CHECK(System.Platform.crashesByRequests() <= MaxCrashesOfOneRequest);
+      for (const size_t Entry : {0, 1})
+        CHECK(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+    }
+}
+
+TEST_CASE("entries that are killed between two crashes do not forget them") {
+  for (const char *Target : {"/once/x", "/stream/x"}) {
+    CAPTURE(std::string(Target));
+    PlatformDeployment System(3, 3);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+    System.Platform.setDeadly("", "dead");
+    for (int Round = 0; Round < 4; ++Round) {
+      repeatDeadly(System, Target, 2);
+      for (const int I : {0, 1})
+        System.kill("entry" + std::to_string(I));
+      for (const int I : {0, 1})
+        System.startEntry(I);
+      for (const size_t Entry : {0, 1})
+        CHECK(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+    }
+    CHECK(System.Platform.crashesByRequests() <= MaxCrashesOfOneRequest);
+  }
+}
+
+TEST_CASE(
+    "an entry that has just started does not send a quarantined request") {
+  for (const char *Target : {"/once/x", "/stream/x"}) {
+    CAPTURE(std::string(Target));
+    PlatformDeployment System(3, 3);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, Target, adapterFor(Target)));
+    System.Platform.setDeadly("", "dead");
+    repeatDeadly(System, Target, 6);
+    const int Before = System.Platform.crashesByRequests();
+    for (int I = 0; I < 6; ++I) {
+      System.kill("entry1");
+      System.startEntry(1);
+      // From its first connection on.
+      CHECK(eventually(
+          [&] {
+            return System.call(1, Target, adapterFor(Target), "dead").Body ==
+                   "quarantined\n";
+          },
+          MaxWaitSeconds));
+    }
+    CHECK(System.Platform.crashesByRequests() == Before);
+  }
+}
