--- a/forward/call.h
+++ b/forward/call.h
@@ -81,7 +81,8 @@
   bool NotRun = false;
   /// The answer bears the upstream's signature.
   bool Signed = false;
-  /// The answer carries the id of another request, so it must not be used.
+  /// The answer carries the id of another request, or is a success that carries
+  /// none, so it must not be used.
   bool OtherRequest = false;
   /// Set together with NotRun if another incarnation of the upstream answers
   /// at the address.
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -304,7 +304,7 @@
   ActiveCall *find(SendId Send);
   /// Whether the buffered part of the answer is within the limits.
   bool fitsBuffers(const ActiveCall &Call) const;
-  /// Whether the stream that has ended was not complete.
+  /// Whether the answer that has ended was not complete.
   bool isBrokenOff(const ActiveCall &Call) const;
   /// Learns the limit that an answer names or no longer names.
   void noteLimit(Time Now, const ActiveCall &Call);
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -175,8 +175,11 @@
 }
 
 bool Forwarder::isBrokenOff(const ActiveCall &Call) const {
-  if (!isSuccess(Call.Head.Status) || !Call.Head.EventStream)
+  if (!isSuccess(Call.Head.Status))
     return false;
+  // The end of a connection is no sign that an empty body is complete.
+  if (!Call.Head.EventStream)
+    return Call.Head.EndsWithConnection && Call.Buffered.empty();
   return Call.Position.endsEarly(Call.Head.EndsWithConnection);
 }
 
@@ -185,7 +188,7 @@
   if (!Call)
     return;
   if (!Call->Head.NotRun && isBrokenOff(*Call))
-    return onError(Now, Send, SendError::Broken, "stream broken off");
+    return onError(Now, Send, SendError::Broken, "answer broken off");
   if (Call->Head.NotRun) {
     if (Call->Head.OtherInstance) {
       Engines.onReplaced(Call->Upstream.Id);
