Soak: upstreams that say they leave, and odd records

The oracle checks both rules on leaving with the bound of draining. The added steps take their random numbers from a sequence of their own, so that the other steps of a seed stay as they were.

--- a/soak/fleet_under_test.cc
+++ b/soak/fleet_under_test.cc
@@ -51,6 +51,20 @@
 constexpr uint16_t MetricsPort = 18084;
 constexpr uint16_t StorePort = 18085;
 
+constexpr const char *OddName = "odd";
+// A process with 8 MB of stack ends at less if it recurses.
+constexpr size_t OddDepth = 200000;
+
+std::string oddRecord(int Variant) {
+  const auto Index = static_cast<size_t>(Variant);
+  if (Index >= std::size(OddRecords))
+    return "";
+  std::string Out(OddRecords[Index]);
+  if (Out != "[")
+    return Out;
+  return std::string(OddDepth, '[') + std::string(OddDepth, ']');
+}
+
 } // namespace
 
 FleetUnderTest::FleetUnderTest(const SoakShape &InShape,
@@ -309,6 +323,12 @@
   case Action::Remove:
     Platform.remove(Upstreams[Next.Target].Name);
     break;
+  case Action::Leave:
+    Platform.setLeaving(Upstreams[Next.Target].Name);
+    break;
+  case Action::OddRecord:
+    Platform.putUpstreamText(OddName, oddRecord(Next.Variant));
+    break;
   case Action::StoreFaulty:
     Platform.setStoreFault(static_cast<StoreFault>(Next.Variant));
     break;
--- a/soak/guarantee_oracle.cc
+++ b/soak/guarantee_oracle.cc
@@ -220,6 +220,12 @@
     addViolation("DRAIN", Record.Sent.Id,
                  "at " + Observed.Upstream + ", draining or removed for ms=" +
                      std::to_string(Observed.Draining.count() / 1000));
+  if (Observed.Leaving > Bounds.Drain &&
+      undisturbedSince(Observed.At - Observed.Leaving))
+    addViolation("DRAIN", Record.Sent.Id,
+                 "at " + Observed.Upstream +
+                     ", which has said that it leaves for ms=" +
+                     std::to_string(Observed.Leaving.count() / 1000));
   if (Observed.Outdated > Bounds.Version &&
       undisturbedSince(Observed.At - Bounds.Version))
     addViolation("VERSION", Record.Sent.Id,
--- a/soak/guarantee_oracle.h
+++ b/soak/guarantee_oracle.h
@@ -59,8 +59,8 @@
   /// False disables all time bounds, for machines that may be too busy to meet
   /// them.
   bool Timed = true;
-  /// How long requests may still reach an upstream after it starts to drain or
-  /// is removed.
+  /// How long requests may still reach an upstream after it starts to drain, is
+  /// removed, or has said in an answer that it leaves.
   Duration Drain = std::chrono::seconds(2);
   /// How long after a release a superseded adapter version may still run.
   Duration Version = std::chrono::seconds(5);
--- a/soak/schedule.cc
+++ b/soak/schedule.cc
@@ -19,15 +19,15 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::array<std::string_view, 29> ActionNames = {
+constexpr std::array<std::string_view, 31> ActionNames = {
     "link_faulty",     "link_healed",     "link_reset",     "link_silenced",
     "pause",           "resume",          "kill",           "terminate",
     "start",           "reload",          "upstream_crash", "upstream_start",
     "upstream_faulty", "upstream_healed", "drain",          "restore",
-    "remove",          "store_faulty",    "store_healed",   "drop_history",
-    "store_restored",  "store_rewritten", "garbage",        "deadly",
-    "limit",           "release",         "configure",      "burst",
-    "burst_over"};
+    "remove",          "leave",           "odd_record",     "store_faulty",
+    "store_healed",    "drop_history",    "store_restored", "store_rewritten",
+    "garbage",         "deadly",          "limit",          "release",
+    "configure",       "burst",           "burst_over"};
 
 constexpr int MinEpisodes = 4;
 constexpr int MaxEpisodes = 14;
@@ -46,7 +46,7 @@
 class ScheduleGenerator {
 public:
   ScheduleGenerator(uint64_t Seed, const SoakShape &Shape)
-      : Rand(Seed), Shape(Shape) {}
+      : Rand(Seed), AddedRand(~Seed), Shape(Shape) {}
 
   std::vector<Step> faults() {
     Steps.clear();
@@ -60,6 +60,8 @@
         (this->*Episode)(Begin + milliseconds(between(0, MaxRepeatDelayMs)),
                          Target);
     }
+    addTo(FaultPhaseLength * 3 / 4, &ScheduleGenerator::leave);
+    addTo(FaultPhaseLength * 3 / 4, &ScheduleGenerator::oddRecord);
     return sorted();
   }
 
@@ -96,6 +98,8 @@
     add(milliseconds(between(0, 500)), Action::Limit, Limited,
         between(MinLimit, MaxLimit));
     add(PlannedPhaseLength, Action::Limit, Limited);
+    addTo(milliseconds(2500), &ScheduleGenerator::leaveAndRestart);
+    addTo(milliseconds(2500), &ScheduleGenerator::oddRecord);
     return sorted();
   }
 
@@ -118,6 +122,17 @@
         FaultPhaseLength);
   }
 
+  // Adds an episode in half of the phases. Its random numbers are of another
+  // sequence, so that the other steps of a seed stay the same.
+  void addTo(Duration Below, Episode Added) {
+    std::swap(Rand, AddedRand);
+    const Duration Begin = randomTime(Below);
+    const size_t Target = Rand.next() >> 8;
+    if (Rand.below(2) == 0)
+      (this->*Added)(Begin, Target);
+    std::swap(Rand, AddedRand);
+  }
+
   void add(Duration At, Action Kind, size_t Target = 0, int Variant = 0) {
     Steps.push_back({At, Kind, Target, Variant});
   }
@@ -172,6 +187,27 @@
     add(Begin, Rand.below(2) == 0 ? Action::Drain : Action::Remove, Upstream);
     add(randomEnd(Begin), Action::Restore, Upstream);
   }
+  void leave(Duration Begin, size_t Target) {
+    const size_t Upstream = Target % Shape.upstreams();
+    add(Begin, Action::Leave, Upstream);
+    add(randomEnd(Begin), Action::UpstreamCrash, Upstream);
+    add(FaultPhaseLength, Action::UpstreamStart, Upstream, between(0, 1));
+  }
+  // Of a plain service, since an engine drains in the same phase. It serves for
+  // longer after it has said so than the platform guarantees.
+  void leaveAndRestart(Duration Begin, size_t Target) {
+    const size_t Upstream = Shape.Engines + Target % Shape.Plains;
+    add(Begin, Action::Leave, Upstream);
+    add(Begin + milliseconds(4500), Action::UpstreamCrash, Upstream);
+    add(Begin + milliseconds(5000), Action::UpstreamStart, Upstream,
+        between(0, 1));
+  }
+  void oddRecord(Duration Begin, size_t Target) {
+    const auto Count = static_cast<int>(std::size(OddRecords));
+    add(Begin, Action::OddRecord, 0,
+        static_cast<int>(Target % std::size(OddRecords)));
+    add(randomEnd(Begin), Action::OddRecord, 0, Count);
+  }
   void storeFault(Duration Begin, size_t) {
     add(Begin, Action::StoreFaulty, 0,
         between(1, static_cast<int>(testing::StoreFault::Truncated)));
@@ -217,6 +253,8 @@
       &ScheduleGenerator::burst};
 
   Random Rand;
+  // For the episodes of addTo().
+  Random AddedRand;
   SoakShape Shape;
   std::vector<Step> Steps;
 };
--- a/soak/schedule.h
+++ b/soak/schedule.h
@@ -62,6 +62,11 @@
   Drain,
   Restore,
   Remove,
+  // The upstream says in its answers that it leaves, until it starts again.
+  Leave,
+  // A record that cannot be read, among those of the upstreams; the Variant is
+  // an index of OddRecords, or beyond it to remove the record.
+  OddRecord,
   // The store; the Variant of StoreFaulty is a StoreFault, and that of
   // StoreRestored the age of the copy in milliseconds.
   StoreFaulty,
@@ -85,6 +90,11 @@
 /// Requests that may crash upstreams in one round, one after another each.
 constexpr size_t DeadlyRequestCount = 6;
 
+/// What Action::OddRecord writes: the brackets of one are repeated.
+constexpr std::string_view OddRecords[] = {
+    "[", R"({"service":"plain","slots":1e999})", "\"\xff\xfe\"",
+    R"({"service":"plain","address":"127.0.0.1:0","zone":"z","state":"ready"})"};
+
 /// The name of \p Kind in schedules and logs.
 std::string_view nameOf(Action Kind);
 
--- a/soak/testing/soak_test.cc
+++ b/soak/testing/soak_test.cc
@@ -287,6 +287,22 @@
        H.Oracle.onRun(R);
        H.answered(H.refusal(502));
      }},
+    {"run at an upstream that has said that it leaves", "DRAIN",
+     [](History &H) {
+       H.sent(CallKind::Read);
+       RunRecord R = H.run();
+       R.Leaving = milliseconds(2100);
+       H.Oracle.onRun(R);
+       H.answered(H.refusal(502));
+     }},
+    {"run at an upstream that has just said that it leaves", "",
+     [](History &H) {
+       H.sent(CallKind::Read);
+       RunRecord R = H.run();
+       R.Leaving = milliseconds(1900);
+       H.Oracle.onRun(R);
+       H.answered(H.refusal(502));
+     }},
     {"run on an outdated version", "VERSION",
      [](History &H) {
        H.sent(CallKind::Stream);
