--- a/cli/main.cc
+++ b/cli/main.cc
@@ -12,6 +12,7 @@
 #include <CLI/CLI.hpp>
 #include <nlohmann/json.hpp>
 
+#include "base/bounded_json.h"
 #include "cli/apply.h"
 #include "cli/fleet_view.h"
 #include "cli/request_timeline.h"
@@ -133,14 +134,21 @@
       Exit = ExitFailed;
       continue;
     }
-    All.push_back(nlohmann::json::parse(Value.Body));
+    nlohmann::json Status = parseJson(Value.Body);
+    if (!Status.is_object()) {
+      std::fprintf(stderr, "the status of cell %s is unreadable\n",
+                   Cell.c_str());
+      Exit = ExitFailed;
+      continue;
+    }
+    All.push_back(std::move(Status));
   }
   if (Args.Json) {
     std::printf("%s\n", All.dump().c_str());
     return Exit;
   }
   for (const auto &Cell : All)
-    for (const auto &P : Cell["processes"])
+    for (const auto &P : Cell.value("processes", nlohmann::json::array()))
       std::printf("%s %s\n", Cell.value("cell", "").c_str(), P.dump().c_str());
   return Exit;
 }
--- a/daemon/catalog_codec.cc
+++ b/daemon/catalog_codec.cc
@@ -54,6 +54,8 @@
   R.Id = Id;
   R.Service = Message.service();
   R.Address = http::Endpoint::parse(Message.address());
+  if (R.Address.Port == 0)
+    throw std::invalid_argument("address without a port");
   R.DataCentre = Message.data_centre();
   R.Slots = Message.slots();
   R.Draining = Message.draining();
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -83,6 +83,7 @@
         {"store_calls_total", Store.storeCalls()},
         {"store_reached", Store.inContact() ? 1 : 0},
         {"store_era", Store.storeEra()},
+        {"store_objects_unreadable_total", Store.unreadableObjects()},
         {"upstreams_era", Known.revisions().Upstreams.Era},
         {"config_version", Known.revisions().Config},
         {"upstreams_revision", Known.revisions().Upstreams.Number},
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -40,7 +40,7 @@
     Log("store state=restored era=" + std::to_string(Era) +
         " before=" + std::to_string(Before));
   });
-  platform::WatchHandlers Config;
+  platform::WatchHandlers Config = handlersFor(platform::kinds::Config);
   Config.OnList = [this](StoreRevision Revision,
                          const std::vector<StoreObject> &List) {
     logList(platform::kinds::Config, Revision, List);
@@ -52,7 +52,7 @@
   };
   Store.watch(platform::kinds::Config, std::move(Config));
 
-  platform::WatchHandlers Upstreams;
+  platform::WatchHandlers Upstreams = handlersFor(platform::kinds::Upstreams);
   Upstreams.OnList = [this](StoreRevision Revision,
                             const std::vector<StoreObject> &List) {
     onUpstreams(Revision, List);
@@ -66,7 +66,7 @@
   Upstreams.BatchDelay = UpstreamWatchPause;
   Store.watch(platform::kinds::Upstreams, std::move(Upstreams));
 
-  platform::WatchHandlers Releases;
+  platform::WatchHandlers Releases = handlersFor(platform::kinds::Releases);
   Releases.OnList = [this](StoreRevision Revision,
                            const std::vector<StoreObject> &List) {
     logList(platform::kinds::Releases, Revision, List);
@@ -77,6 +77,26 @@
   Store.watch(platform::kinds::Releases, std::move(Releases));
 }
 
+platform::WatchHandlers StoreWatcher::handlersFor(std::string_view Kind) {
+  platform::WatchHandlers Out;
+  Out.OnLeftOut = [this, Kind](size_t Count, const std::string &Why) {
+    // What is wrong stands for the objects, which have no readable name.
+    if (Unreadable.add(Kind, Why))
+      Log("store kind=" + std::string(Kind) + " outcome=left_out objects=" +
+          std::to_string(Count) + " why=\"" + Why + "\"");
+  };
+  return Out;
+}
+
+void StoreWatcher::noteUnreadable(std::string_view Kind,
+                                  const platform::StoreObject &Object,
+                                  std::string_view Why) {
+  if (Unreadable.add(Kind, Object.Name))
+    Log("store kind=" + std::string(Kind) + " object=" + Object.Name +
+        " outcome=unreadable revision=" + Object.Revision.text() + " why=\"" +
+        std::string(Why) + "\"");
+}
+
 void StoreWatcher::setEntryCount(size_t Count) {
   const auto Factor = static_cast<int64_t>(Count);
   Store.setWatchTime(platform::kinds::Config, ConfigRenewalInterval * Factor);
@@ -108,16 +128,26 @@
         Object.Revision.text() + " routes=" + std::to_string(Routes));
     scheduleNotification();
   } catch (const platform::DecodeError &Error) {
-    Log("config object=" + Object.Name + " outcome=unreadable why=\"" +
-        Error.what() + "\"");
+    noteUnreadable(platform::kinds::Config, Object, Error.what());
   }
 }
 
+std::optional<UpstreamRecord>
+StoreWatcher::readUpstream(const platform::StoreObject &Object) {
+  auto Record = platform::decodeUpstream(Object.Name, Object.Content);
+  if (Record)
+    Unreadable.remove(platform::kinds::Upstreams, Object.Name);
+  else
+    noteUnreadable(platform::kinds::Upstreams, Object,
+                   "describes no usable upstream");
+  return Record;
+}
+
 void StoreWatcher::onUpstreams(StoreRevision Revision,
                                const std::vector<platform::StoreObject> &List) {
   std::map<std::string, UpstreamRecord> Records;
   for (const platform::StoreObject &Object : List)
-    if (auto Record = platform::decodeUpstream(Object.Name, Object.Content))
+    if (auto Record = readUpstream(Object))
       Records[Object.Name] = std::move(*Record);
   Log("upstreams listed=" + std::to_string(List.size()) + " usable=" +
       std::to_string(Records.size()) + " revision=" + Revision.text());
@@ -128,8 +158,10 @@
 
 void StoreWatcher::onUpstream(const platform::StoreObject &Object) {
   std::optional<UpstreamRecord> Record;
-  if (!Object.Removed)
-    Record = platform::decodeUpstream(Object.Name, Object.Content);
+  if (Object.Removed)
+    Unreadable.remove(platform::kinds::Upstreams, Object.Name);
+  else
+    Record = readUpstream(Object);
   if (const StoreRevision Known = KnownCatalog.revisionOf(Object.Name);
       Object.Revision < Known)
     Log("upstream id=" + Object.Name + " outcome=outdated revision=" +
@@ -151,7 +183,8 @@
     return;
   auto Record = platform::decodeRelease(Object.Content);
   if (!Record) {
-    Log("release object=" + Object.Name + " outcome=unreadable");
+    noteUnreadable(platform::kinds::Releases, Object,
+                   "announces no version of weights");
     return;
   }
   Record->Revision = Object.Revision;
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "catalog/catalog.h"
+#include "daemon/unreadable_objects.h"
 #include "platform/store_client.h"
 
 namespace goldcrestlink {
@@ -40,15 +41,26 @@
   bool inContact() const { return InContact; }
   uint64_t storeCalls() const { return Store.calls(); }
   uint64_t storeEra() const { return Store.era(); }
+  /// Number of unreadable objects found since the start; one that is read again
+  /// is not counted again.
+  uint64_t unreadableObjects() const { return Unreadable.total(); }
 
 private:
   void logList(std::string_view Kind, StoreRevision Revision,
                const std::vector<platform::StoreObject> &List);
   void onConfigObject(const platform::StoreObject &Object);
+  /// Empty if the object describes no usable upstream, which is logged once.
+  std::optional<UpstreamRecord>
+  readUpstream(const platform::StoreObject &Object);
   void onUpstreams(StoreRevision Revision,
                    const std::vector<platform::StoreObject> &List);
   void onUpstream(const platform::StoreObject &Object);
   void onRelease(const platform::StoreObject &Object);
+  /// Logs an unreadable object once.
+  void noteUnreadable(std::string_view Kind,
+                      const platform::StoreObject &Object,
+                      std::string_view Why);
+  platform::WatchHandlers handlersFor(std::string_view Kind);
   void onContact(bool Reached, std::string_view Why);
   void scheduleNotification();
   void scheduleDeferredCheck();
@@ -57,6 +69,7 @@
   platform::StoreClient Store;
   boost::asio::steady_timer DeferredTimer;
   Catalog KnownCatalog;
+  UnreadableObjects Unreadable;
   OnChanged NotifyChanged;
   OnLog Log;
   bool InContact = true;
--- a/delivery/answer_check.cc
+++ b/delivery/answer_check.cc
@@ -3,7 +3,7 @@
 // the bytes kept between calls of feed() are at most MaxEventBytes.
 #include "delivery/answer_check.h"
 
-#include <nlohmann/json.hpp>
+#include "base/bounded_json.h"
 
 namespace goldcrestlink {
 
@@ -18,7 +18,7 @@
 }
 
 bool AnswerCheck::partMatches(std::string_view Text) const {
-  const auto Json = nlohmann::json::parse(Text, nullptr, false);
+  const nlohmann::json Json = parseJson(Text);
   if (!Json.is_object())
     return false;
   const auto ModelField = Json.find("model");
--- a/entry/request_parser.cc
+++ b/entry/request_parser.cc
@@ -5,7 +5,7 @@
 
 #include <charconv>
 
-#include <nlohmann/json.hpp>
+#include "base/bounded_json.h"
 
 namespace goldcrestlink::entry {
 
@@ -59,7 +59,7 @@
 }
 
 std::string readCompletion(CallerRequest &Out) {
-  const auto Json = nlohmann::json::parse(Out.Body, nullptr, false);
+  const nlohmann::json Json = parseJson(Out.Body);
   if (!Json.is_object())
     return "the body is not a JSON object";
   const auto Model = Json.find("model");
--- a/scripts/install-packages.sh
+++ b/scripts/install-packages.sh
@@ -6,4 +6,4 @@
 apt-get install -y -q g++ cmake ninja-build ccache clang-format clang-tidy \
   pkg-config python3 libtbb-dev libzmq3-dev cppzmq-dev libprotobuf-dev \
   libboost-dev libcli11-dev libgoogle-glog-dev doctest-dev libinih-dev \
-  nlohmann-json3-dev libxxhash-dev librapidcheck-dev
+  nlohmann-json3-dev libxxhash-dev libsimdjson-dev librapidcheck-dev
--- a/side/upstream_client.cc
+++ b/side/upstream_client.cc
@@ -4,6 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "base/bounded_json.h"
+
 namespace goldcrestlink::side {
 
 namespace {
@@ -33,7 +35,7 @@
     Out.Result = UpstreamStatus::Kind::Silent;
     return Out;
   }
-  const auto Json = nlohmann::json::parse(Answer->Body, nullptr, false);
+  const nlohmann::json Json = parseJson(Answer->Body);
   if (Json.is_object() && Json.contains("slots") && Json["slots"].is_array())
     for (const auto &Slot : Json["slots"])
       Out.SlotKeys.push_back(Slot.is_string() ? Slot.get<std::string>()
--- /dev/null
+++ b/testing/odd_record_test.cc
@@ -0,0 +1,94 @@
+// The real programs with an odd record among those of the upstreams: they go on
+// and follow the other records.
+#include <doctest/doctest.h>
+
+#include <thread>
+
+#include "testing/platform_deployment.h"
+#include "testing/standin_support.h"
+
+using namespace goldcrestlink;
+using namespace goldcrestlink::testing;
+
+namespace {
+
+// The platform's bound on requests to an upstream after the store has
+// acknowledged that it leaves.
+constexpr auto DrainTime = std::chrono::seconds(2);
+constexpr int Calls = 20;
+
+size_t arrivals(PlatformDeployment &System, const std::string &Name) {
+  const size_t Before = System.Platform.tally(Name).Arrivals.size();
+  for (int I = 0; I < Calls; ++I)
+    for (const size_t Entry : {0, 1})
+      System.call(Entry, "/read/x");
+  return System.Platform.tally(Name).Arrivals.size() - Before;
+}
+
+std::string nested(size_t Depth) {
+  return R"({"service":"plain","address":"127.0.3.7:9","zone":"z",)"
+         R"("state":"ready","slots":6,"x":)" +
+         std::string(Depth, '[') + std::string(Depth, ']') + "}";
+}
+
+struct OddRow {
+  const char *Name;
+  std::string Spec;
+};
+
+} // namespace
+
+TEST_CASE("an odd record neither ends a process nor hides upstreams that leave "
+          "and join") {
+  const OddRow Rows[] = {
+      {"nested deeply", nested(200000)},
+      {"number too large", R"({"service":"plain","slots":1e999})"},
+      {"not UTF-8", "\"\xff\xfe\""},
+  };
+  for (const OddRow &R : Rows) {
+    CAPTURE(R.Name);
+    PlatformDeployment System(1, 2);
+    System.Platform.setStorePageSize(3);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, "/read/x"));
+
+    // In the events of a watch, beside upstreams that leave and one that joins.
+    System.Platform.putUpstreamText("odd", R.Spec);
+    System.Platform.putUpstreamObjectText("odd2", "{\"metadata\":" + R.Spec +
+                                                      ",\"spec\":{}}");
+    for (const char *Name : {"p", "p1"})
+      System.Platform.drain(Name);
+    System.Platform.addPlain("p9", "127.0.3.9",
+                             static_cast<uint16_t>(freePort()));
+    std::this_thread::sleep_for(DrainTime);
+    CHECK(arrivals(System, "p1") == 0);
+    CHECK(arrivals(System, "p9") > 0);
+
+    // In the lists that processes read when they start.
+    for (const int I : {0, 1}) {
+      System.kill("entry" + std::to_string(I));
+      System.startEntry(I);
+    }
+    for (const size_t Entry : {0, 1})
+      CHECK(System.eventuallyServed(Entry, "/read/x"));
+    CHECK(arrivals(System, "p1") == 0);
+    CHECK(arrivals(System, "p9") > 0);
+
+    // Under the id of an upstream that was good.
+    System.Platform.putUpstreamText("p9", R.Spec);
+    std::this_thread::sleep_for(DrainTime);
+    CHECK(arrivals(System, "p9") == 0);
+
+    // Taken away again.
+    for (const char *Name : {"odd", "odd2"})
+      System.Platform.putUpstreamObjectText(Name, "");
+    System.Platform.restore("p9");
+    std::this_thread::sleep_for(DrainTime);
+    CHECK(arrivals(System, "p9") > 0);
+    for (const char *Host : {"127.0.2.1", "127.0.2.2"})
+      CHECK(System.metric(
+                Host, "goldcrestlink_store_objects_unreadable_total") != "0");
+    for (const size_t Entry : {0, 1})
+      CHECK(System.ready(Entry));
+  }
+}
