Continue a stream only at an upstream whose software is certain (ORDER)

Cause: a take-up asked for its origin and then took candidates from the entry's own catalog. An upstream that had started again under its id with other software was taken for the old one until its record arrived, and replies that had waited for a stopped process were used. The origin of a stream was recorded with the version believed.

A side says with its Go when its engine has started, and an entry compares that with the record. An entry that finds that it stood still, by a clock that counts suspensions, relies on no reply from before. A stream that began at an uncertain version has no origin. New streams are not held up.

Class of fault: a belief used as a fact after its owner was cut off or stood still.

--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -69,6 +69,9 @@
   /// request needs a load of its adapter from the store, which would take as
   /// long on another engine.
   bool TryElsewhere = true;
+  /// Go: Unix time of the start of the engine's incarnation in milliseconds, as
+  /// the process beside it has learnt from the engine; 0 if not known.
+  uint64_t EngineStartedMs = 0;
   /// Reason in one word, for the log.
   std::string_view Reason;
 };
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -62,6 +62,7 @@
   Message.set_version(Reply.Version);
   Message.set_expected_us(static_cast<uint64_t>(Reply.Expected.count()));
   Message.set_only_holders(!Reply.TryElsewhere);
+  Message.set_engine_started_ms(Reply.EngineStartedMs);
   return Out;
 }
 
@@ -74,6 +75,7 @@
   Reply.Version = Message.version();
   Reply.Expected = Duration(static_cast<int64_t>(Message.expected_us()));
   Reply.TryElsewhere = !Message.only_holders();
+  Reply.EngineStartedMs = Message.engine_started_ms();
   return Reply;
 }
 
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -23,6 +23,7 @@
 #include "daemon/leaving_codec.h"
 #include "daemon/origin_codec.h"
 #include "daemon/side_connection.h"
+#include "daemon/stall_watch.h"
 #include "forward/forwarder.h"
 #include "forward/origin_keepers.h"
 #include "http/client.h"
@@ -468,6 +469,7 @@
   }
 
   void onSideMessage(const std::string &Address, wire::Envelope &Message) {
+    checkStall();
     Side &From = Sides[Address];
     const std::string Id = From.UpstreamId;
     const Time Now = now();
@@ -515,7 +517,16 @@
     Silent.Connection->reset();
   }
 
+  // To be called before anything that has waited for this process is used.
+  void checkStall() {
+    if (!Stalls.check())
+      return;
+    Sinks.Log(LogClass::Kept, "stall outcome=detected");
+    Forwarder.onStall(now());
+  }
+
   void tick() {
+    checkStall();
     const Time Now = now();
     Forwarder.onTimer(Now);
     exchangeCatalog(Now);
@@ -572,6 +583,7 @@
   std::atomic<size_t> CallCount{0};
   uint64_t LastCallId = 0;
   bool Stopping = false;
+  StallWatch Stalls;
   forward::Forwarder Forwarder;
   Random Rand;
 };
@@ -589,6 +601,11 @@
                     [this, NewCatalog] { Impl->publish(NewCatalog); });
 }
 
+void EntryTraffic::confirmUpstreams(Time AsOf) {
+  boost::asio::post(Impl->Io,
+                    [this, AsOf] { Impl->Forwarder.onCurrentCatalog(AsOf); });
+}
+
 void EntryTraffic::announceStop() {
   boost::asio::post(Impl->Io, [this] {
     Impl->Stopping = true;
--- a/daemon/entry_traffic.h
+++ b/daemon/entry_traffic.h
@@ -40,6 +40,9 @@
   void run();
   /// Replaces the catalog that decisions are based on.
   void publish(std::shared_ptr<const Catalog> NewCatalog);
+  /// The catalog has all changes of the upstreams that were made before
+  /// \p AsOf.
+  void confirmUpstreams(Time AsOf);
   /// First step of a graceful shutdown: reports not ready and asks callers to
   /// close their connections, but still serves.
   void announceStop();
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -62,6 +62,7 @@
                       [this] { return Traffic.callsInProgress(); }}) {}
 
   int run() {
+    Store.onCurrent([this](Time AsOf) { Traffic.confirmUpstreams(AsOf); });
     Store.start();
     std::thread Thread([this] { Traffic.run(); });
     Io.run();
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -307,7 +307,9 @@
               " starting=" + std::to_string(Admission.report().Waiting) +
               " memory_used=" + std::to_string(Admission.report().MemoryUsed) +
               " rate=" + std::to_string(Admission.load(now()).PrefillRate));
-    wire::Envelope E = encodeReply(Request.Id, Reply);
+    AdmissionReply WithStart = Reply;
+    WithStart.EngineStartedMs = StartedMs;
+    wire::Envelope E = encodeReply(Request.Id, WithStart);
     if (!EntrySocket.send(Request.Peer, E))
       Control.log(LogClass::Routine,
                   "reply outcome=entry_gone ask=" + std::to_string(Request.Id));
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -63,6 +63,13 @@
   Upstreams.OnRecovered = [this] {
     KnownCatalog.onStoreReconnected(currentTime().Steady);
   };
+  Upstreams.OnCurrent = [this](Time AsOf) {
+    // Behind the notification of the changes.
+    boost::asio::post(Io, [this, AsOf] {
+      if (NotifyCurrent)
+        NotifyCurrent(AsOf);
+    });
+  };
   Upstreams.BatchDelay = UpstreamWatchPause;
   Store.watch(platform::kinds::Upstreams, std::move(Upstreams));
 
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -24,11 +24,15 @@
   /// Called after the catalog has changed.
   using OnChanged = std::function<void()>;
   using OnLog = std::function<void(std::string)>;
+  /// Called when the catalog has all changes of the upstreams that the store
+  /// had made before a time, after OnChanged.
+  using OnCurrent = std::function<void(Time)>;
 
   StoreWatcher(boost::asio::io_context &Io, const http::Endpoint &Store,
                uint64_t Seed, OnChanged NotifyChanged, OnLog Log);
   /// Lists and watches the store from now on, as long as the object exists.
   void start();
+  void onCurrent(OnCurrent Callback) { NotifyCurrent = std::move(Callback); }
   /// Applies newer catalog state received from another process.
   void onCatalogUpdate(const CatalogUpdate &Update);
   /// Sets the number of entries that exchange catalog state, this one included.
@@ -72,6 +76,7 @@
   UnreadableObjects Unreadable;
   OnChanged NotifyChanged;
   OnLog Log;
+  OnCurrent NotifyCurrent;
   bool InContact = true;
   bool NotificationPending = false;
 };
--- a/forward/forward_port.h
+++ b/forward/forward_port.h
@@ -43,6 +43,9 @@
   /// It is not known which software version began the stream that the caller
   /// takes up.
   UnknownOrigin,
+  /// The stream goes on at one software version only, and it is not certain
+  /// which one the upstreams that this entry can reach run now.
+  VersionUncertain,
   /// No upstream of the software version that began the stream can be used.
   OriginGone,
   /// Every upstream that could serve the call wants no requests for a while.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -221,6 +221,9 @@
 // Plain services.
 
 void Forwarder::placeOnService(Time Now, ActiveCall &Call) {
+  if (!maySendWithoutSide(Now, Call))
+    return fail(Now, Call, EndReason::VersionUncertain);
+  Call.VersionIsCertain = Versions.isCurrent(Now);
   if (const UpstreamRecord *U = choosePlain(Now, Call)) {
     Call.Upstream = *U;
     return sendTo(Now, Call, 0);
@@ -310,8 +313,7 @@
 
 void Forwarder::placeOnEngine(Time Now, ActiveCall &Call) {
   const EngineRequirements Required = requirementsOf(Call);
-  const std::vector<EngineCandidate> Ranked =
-      Engines.rank(Now, Required, openCandidatesFor(Now, Call));
+  const std::vector<EngineCandidate> Ranked = rankEngines(Now, Call, Required);
   if (Ranked.empty())
     return failWithoutUpstream(Now, Call);
   if (Call.AdmissionRequests == 0)
@@ -326,10 +328,11 @@
     if (Call.AdmissionRequests >= Opts.maxAdmissionRequests())
       break;
     if (!C.SideAnswers) {
-      if (!Limits.allows(Now, C.Upstream->Id))
+      if (!Limits.allows(Now, C.Upstream->Id) || !maySendWithoutSide(Now, Call))
         continue;
       Limits.onSent(Now, C.Upstream->Id);
       Call.Upstream = *C.Upstream;
+      Call.VersionIsCertain = Versions.isCurrent(Now);
       return sendTo(Now, Call, Required.Version);
     }
     return requestAdmission(Now, Call, C, HeldSomewhere);
@@ -372,6 +375,7 @@
   Call.AdmissionId = NextAdmissionId++;
   CallByAdmission[Call.AdmissionId] = Call.Id;
   ++Call.AdmissionRequests;
+  Call.AdmissionRequestedAt = Now;
   Call.CurrentStage = Stage::AdmissionRequested;
   Call.StageUntil = Now + Opts.admissionTimeout();
   schedule(Call.StageUntil, Call.Id);
@@ -420,7 +424,8 @@
       endAdmission(Call);
       return placeOnEngine(Now, Call);
     }
-    return sendTo(Now, Call, Reply.Version);
+    return checkVersion(Now, Call, Reply) ? sendTo(Now, Call, Reply.Version)
+                                          : void();
   case Verdict::Wait:
     Call.CurrentStage = Stage::WaitingAtSide;
     Port.log(
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -34,6 +34,7 @@
 #include "forward/stream_position.h"
 #include "forward/upstream_limits.h"
 #include "forward/upstream_pauses.h"
+#include "forward/version_knowledge.h"
 
 namespace goldcrestlink::forward {
 
@@ -109,6 +110,10 @@
   void onAdmission(Time Now, const std::string &UpstreamId,
                    uint64_t AdmissionId, const AdmissionReply &Reply);
   void onLoad(Time Now, const std::string &UpstreamId, const EngineLoad &Load);
+  /// The catalog has all changes of the upstreams before \p AsOf.
+  void onCurrentCatalog(Time AsOf) { Versions.onCurrent(AsOf); }
+  /// The process stood still until \p Now.
+  void onStall(Time Now) { Versions.onStall(Now); }
   /// A side has sent all that it knows of crashes and of upstreams that leave.
   void onSideState() { Gate.onSideState(); }
   /// \p Count is the number of live entries, this one included.
@@ -184,6 +189,10 @@
     // Zero if no admission request is open.
     uint64_t AdmissionId = 0;
     bool UpstreamHoldsAdapter = false;
+    Time AdmissionRequestedAt{};
+    // The upstream of the present send is known to run the software version of
+    // its record.
+    bool VersionIsCertain = false;
     // Time-out of the current stage.
     Time StageUntil{};
     uint32_t AdmissionRequests = 0;
@@ -259,6 +268,15 @@
   void onOriginTimeout(Time Now, ActiveCall &Call);
   void placeTakeUp(Time Now, ActiveCall &Call, StreamOrigin Origin);
   void failTakeUp(Time Now, ActiveCall &Call, EndReason Why);
+  /// Sorts the engines that may run the call.
+  std::vector<EngineCandidate>
+  rankEngines(Time Now, const ActiveCall &Call,
+              const EngineRequirements &Required) const;
+  /// Whether the call may be sent without asking the side beside its upstream.
+  bool maySendWithoutSide(Time Now, const ActiveCall &Call) const;
+  /// A side lets the call be sent. Places it anew and returns false if that
+  /// might go on with its stream at another software version.
+  bool checkVersion(Time Now, ActiveCall &Call, const AdmissionReply &Reply);
   /// The call's stream has its first event of this answer.
   void noteOrigin(Time Now, ActiveCall &Call);
   /// Whether \p U may go on with the call's stream, or begin it.
@@ -375,6 +393,7 @@
   UpstreamLimits Limits;
   StreamOrigins Origins{StreamOrigins::Options()};
   StartGate Gate;
+  VersionKnowledge Versions;
   CrashDetector Detector;
   CrashAttribution Crashes;
   // Calls in progress that are isolated, at most one.
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -39,6 +39,8 @@
     return "suspect";
   case EndReason::UnknownOrigin:
     return "unknown_origin";
+  case EndReason::VersionUncertain:
+    return "version_uncertain";
   case EndReason::OriginGone:
     return "origin_gone";
   case EndReason::Paused:
--- a/forward/forwarder_origins.cc
+++ b/forward/forwarder_origins.cc
@@ -108,11 +108,44 @@
   fail(Now, Call, Why);
 }
 
+std::vector<EngineCandidate>
+Forwarder::rankEngines(Time Now, const ActiveCall &Call,
+                       const EngineRequirements &Required) const {
+  const std::vector<const UpstreamRecord *> Open = openCandidatesFor(Now, Call);
+  return Engines.rank(Now, Required, Open);
+}
+
+bool Forwarder::maySendWithoutSide(Time Now, const ActiveCall &Call) const {
+  return !Call.Origin || Versions.isCurrent(Now);
+}
+
+bool Forwarder::checkVersion(Time Now, ActiveCall &Call,
+                             const AdmissionReply &Reply) {
+  Call.VersionIsCertain =
+      Versions.isCertain(Now, CurrentCatalog->upstreams().at(Call.Upstream.Id),
+                         Reply, Call.AdmissionRequestedAt);
+  if (Call.VersionIsCertain || !Call.Origin)
+    return true;
+  Port.log(LogClass::Kept,
+           "version_uncertain " + describe(Call) +
+               " software=" + Call.Origin->SoftwareVersion +
+               " record_started_ms=" + std::to_string(Call.Upstream.StartedMs) +
+               " engine_started_ms=" + std::to_string(Reply.EngineStartedMs));
+  endAdmission(Call);
+  Call.TriedUpstreams.insert(Call.Upstream.Id);
+  placeOnEngine(Now, Call);
+  return false;
+}
+
 void Forwarder::noteOrigin(Time Now, ActiveCall &Call) {
   if (Call.Repeat != Repeatability::ResumableStream)
     return;
+  // What may be another version than that of the record is none that others
+  // can be compared with.
   if (!Call.Origin)
-    Call.Origin = {Call.Service, Call.Upstream.SoftwareVersion};
+    Call.Origin = {Call.Service, Call.VersionIsCertain
+                                     ? Call.Upstream.SoftwareVersion
+                                     : std::string()};
   if (Call.Origin->SoftwareVersion.empty())
     return;
   Origins.record(Now, streamKey(Call), *Call.Origin);
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -429,8 +429,9 @@
     // An engine reliably refuses what it cannot serve, so sending to it without
     // admission by its side is safe.
     if (Call.UpstreamHoldsAdapter && canSend(Now, Call) &&
-        Limits.allows(Now, Call.Upstream.Id)) {
+        maySendWithoutSide(Now, Call) && Limits.allows(Now, Call.Upstream.Id)) {
       Limits.onSent(Now, Call.Upstream.Id);
+      Call.VersionIsCertain = Versions.isCurrent(Now);
       return sendTo(
           Now, Call,
           CurrentCatalog->releasedVersion(Call.Request.Inference.Model,
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -174,6 +174,7 @@
   Entry() : Machine(Forwarder::Options(), Port, 7) {
     Machine.onCatalog(at(0), deployment());
     Machine.onSideState();
+    Machine.onCurrentCatalog(at(0));
   }
 
   static IncomingCall incoming(const std::string &Target,
--- a/scripts/try-mutations.sh
+++ b/scripts/try-mutations.sh
@@ -4,8 +4,9 @@
 # Prints one line per change, and fails if a change is not detected, cannot be
 # applied or does not build. Not part of CI, because it builds the complete
 # project once and again, incrementally, for each change.
-#   scripts/try-mutations.sh [COPY]   folder of the copy; kept for the next run
-#                                     if given, otherwise temporary
+#   scripts/try-mutations.sh [COPY [NAMES]]   folder of the copy; kept for the
+#                   next run if given, otherwise temporary. Only the changes
+#                   whose names match the regular expression NAMES, if given.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 Copy=${1:-$(mktemp -d)}
@@ -17,6 +18,7 @@
 Unnoticed=0
 while IFS='@' read -r Name File Change Tests; do
   [[ -z "$Name" || "$Name" == \#* ]] && continue
+  [[ "$Name" =~ ${2:-} ]] || continue
   File=${File// /}
   Tests=${Tests// /}
   cp "$File" "$Copy/$File.whole"
--- a/testing/odd_record_test.cc
+++ b/testing/odd_record_test.cc
@@ -61,7 +61,8 @@
     System.Platform.addPlain("p9", "127.0.3.9",
                              static_cast<uint16_t>(freePort()));
     std::this_thread::sleep_for(DrainTime);
-    CHECK(arrivals(System, "p1") == 0);
+    for (const char *Name : {"p", "p1"})
+      CHECK(arrivals(System, Name) == 0);
     CHECK(arrivals(System, "p9") > 0);
 
     // In the lists that processes read when they start.
--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -181,6 +181,10 @@
   return Exit;
 }
 
+void PlatformDeployment::signal(const std::string &Name, int Number) const {
+  Processes.at(Name)->signal(Number);
+}
+
 void PlatformDeployment::kill(const std::string &Name) {
   Processes.at(Name)->signal(SIGKILL);
   Processes.at(Name)->wait();
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -82,6 +82,7 @@
   /// Stops a process with SIGTERM; returns its exit code.
   int stop(const std::string &Name);
   void kill(const std::string &Name);
+  void signal(const std::string &Name, int Number) const;
   /// What the process has written so far.
   std::string log(const std::string &Name) const;
 
--- a/testing/stream_version_test.cc
+++ b/testing/stream_version_test.cc
@@ -1,5 +1,7 @@
 // The real programs against engines of several software versions: a stream goes
 // on at the version that began it, or not at all.
+#include <csignal>
+
 #include <doctest/doctest.h>
 
 #include "testing/platform_deployment.h"
@@ -189,3 +191,47 @@
     CHECK(R.versions() == First.versions());
   }
 }
+
+TEST_CASE("a stream is not joined with an upstream that has started again with "
+          "other software") {
+  constexpr int Engines = 2;
+  enum class Unseen { StoreSilent, EntryStopped };
+  for (const Unseen How : {Unseen::StoreSilent, Unseen::EntryStopped}) {
+    CAPTURE(static_cast<int>(How));
+    PlatformDeployment System(Engines);
+    serveBoth(System);
+    const StreamResult First = System.stream(0, {.Adapter = "a1", .Events = 5});
+    REQUIRE(First.Complete);
+    // Both engines start again under their ids, which entry 1 cannot see.
+    if (How == Unseen::StoreSilent)
+      System.Platform.setStoreFault(StoreFault::Silent);
+    else
+      System.signal("entry1", SIGSTOP);
+    for (const char *Name : {"e0", "e1"}) {
+      const std::string Id = Name;
+      System.Platform.crash(Name);
+      System.Platform.setSoftwareVersion(Name, "v2");
+      System.Platform.start(Name, Id);
+    }
+    if (How == Unseen::EntryStopped) {
+      // The sides have engines again that serve the adapter.
+      CHECK(eventually(
+          [&] { return System.stream(0, {.Adapter = "a1"}).Status == 200; },
+          MaxWaitSeconds));
+      System.signal("entry1", SIGCONT);
+    }
+    int Joined = 0;
+    for (int I = 0; I < 12; ++I) {
+      const StreamResult R = System.stream(1, {.Adapter = "a1",
+                                               .Events = 10,
+                                               .Resumes = First.RequestId,
+                                               .AfterEvent = 5});
+      CHECK(seconds(R.Took) < MaxRefusalSeconds);
+      Joined += R.versions().contains("v2") ? 1 : 0;
+    }
+    CHECK(Joined == 0);
+    // New streams are served, and by the new software.
+    System.Platform.setStoreFault(StoreFault::None);
+    serveBoth(System);
+  }
+}
