--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -495,7 +495,7 @@
       Forwarder.onLoad(Now, Named.empty() ? Id : Named,
                        decodeLoad(Message.engine_load()));
       // A side sends its load after everything else that it knows.
-      Forwarder.onSideState();
+      Forwarder.onSideState(Now);
       onEntries(Message.engine_load().entries());
     }
   }
--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -164,7 +164,8 @@
         Required.Adapter.empty() ||
         std::find(State.Load.Held.begin(), State.Load.Held.end(),
                   AdapterHash) != State.Load.Held.end();
-    if (!Candidate.SideAnswers && !Candidate.HoldsAdapter)
+    if (!Candidate.SideAnswers && !Candidate.HoldsAdapter &&
+        !Required.AnyWithoutSide)
       continue;
     Candidate.Expected =
         std::max(Duration(0),
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -33,6 +33,9 @@
   uint64_t Version = 0;
   uint32_t PromptTokens = 0;
   uint32_t Rank = 0;
+  /// Engines whose sides do not answer are candidates also if they are not
+  /// known to hold the adapter.
+  bool AnyWithoutSide = false;
 };
 
 /// An engine as a candidate for one request.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -411,6 +411,7 @@
 void Forwarder::onAdmission(Time Now, const std::string &UpstreamId,
                             uint64_t AdmissionId, const AdmissionReply &Reply) {
   Engines.onSideAnswered(UpstreamId);
+  SideHeardAt = Now;
   const auto Found = CallByAdmission.find(AdmissionId);
   if (Found == CallByAdmission.end())
     return; // The admission request was ended; the side has been notified.
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -115,7 +115,10 @@
   /// The process stood still until \p Now.
   void onStall(Time Now) { Versions.onStall(Now); }
   /// A side has sent all that it knows of crashes and of upstreams that leave.
-  void onSideState() { Gate.onSideState(); }
+  void onSideState(Time Now) {
+    Gate.onSideState();
+    SideHeardAt = Now;
+  }
   /// \p Count is the number of live entries, this one included.
   void onEntries(Time Now, size_t Count);
   void onHead(Time Now, SendId Send, AnswerHead Head);
@@ -223,6 +226,7 @@
     std::optional<StreamOrigin> Origin;
     uint32_t OriginRound = 0;
     // Sides asked in this round, and those that do not know the origin.
+    Time OriginAskedAt{};
     size_t OriginAsked = 0;
     size_t OriginAnswers = 0;
     std::string Buffered;
@@ -268,7 +272,8 @@
   void onOriginTimeout(Time Now, ActiveCall &Call);
   void placeTakeUp(Time Now, ActiveCall &Call, StreamOrigin Origin);
   void failTakeUp(Time Now, ActiveCall &Call, EndReason Why);
-  /// Sorts the engines that may run the call.
+  /// Sorts the engines that may run the call; if it goes on with a stream and
+  /// none else is left, also those that only a side could tell more of.
   std::vector<EngineCandidate>
   rankEngines(Time Now, const ActiveCall &Call,
               const EngineRequirements &Required) const;
@@ -394,6 +399,8 @@
   StreamOrigins Origins{StreamOrigins::Options()};
   StartGate Gate;
   VersionKnowledge Versions;
+  // When a side has last answered or sent its load.
+  Time SideHeardAt{};
   CrashDetector Detector;
   CrashAttribution Crashes;
   // Calls in progress that are isolated, at most one.
--- a/forward/forwarder_origins.cc
+++ b/forward/forwarder_origins.cc
@@ -50,6 +50,7 @@
   Call.CurrentStage = Stage::OriginRequested;
   ++Call.OriginRound;
   Call.OriginAnswers = 0;
+  Call.OriginAskedAt = Now;
   Call.StageUntil = std::min(Now + Timeout, Now + (Call.Deadline - Now) / 2);
   schedule(Call.StageUntil, Call.Id);
   Call.OriginAsked =
@@ -60,6 +61,7 @@
 
 void Forwarder::onOrigin(Time Now, const OriginQuery &Query,
                          const std::optional<StreamOrigin> &Origin) {
+  SideHeardAt = Now;
   const auto It = Calls.find(Query.Call);
   if (It == Calls.end() || It->second.CurrentStage != Stage::OriginRequested ||
       streamKey(It->second) != Query.Attempt)
@@ -78,9 +80,12 @@
 }
 
 void Forwarder::onOriginTimeout(Time Now, ActiveCall &Call) {
-  if (Call.OriginRound == 1)
+  // An entry that hears from no side is cut off from them, and another one is
+  // likely to know more at once.
+  const bool HearsSides = SideHeardAt >= Call.OriginAskedAt;
+  if (Call.OriginRound == 1 && HearsSides)
     return askForOrigin(Now, Call, KeepersAskedAgain, SecondOriginTimeout);
-  failTakeUp(Now, Call, EndReason::UnknownOrigin);
+  fail(Now, Call, EndReason::UnknownOrigin);
 }
 
 void Forwarder::placeTakeUp(Time Now, ActiveCall &Call, StreamOrigin Origin) {
@@ -112,7 +117,13 @@
 Forwarder::rankEngines(Time Now, const ActiveCall &Call,
                        const EngineRequirements &Required) const {
   const std::vector<const UpstreamRecord *> Open = openCandidatesFor(Now, Call);
-  return Engines.rank(Now, Required, Open);
+  std::vector<EngineCandidate> Out = Engines.rank(Now, Required, Open);
+  if (!Out.empty() || !Call.Origin)
+    return Out;
+  // An engine reliably refuses what it cannot serve.
+  EngineRequirements Any = Required;
+  Any.AnyWithoutSide = true;
+  return Engines.rank(Now, Any, Open);
 }
 
 bool Forwarder::maySendWithoutSide(Time Now, const ActiveCall &Call) const {
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -173,7 +173,7 @@
 struct Entry {
   Entry() : Machine(Forwarder::Options(), Port, 7) {
     Machine.onCatalog(at(0), deployment());
-    Machine.onSideState();
+    Machine.onSideState(at(0));
     Machine.onCurrentCatalog(at(0));
   }
 
--- a/forward/testing/stream_origin_test.cc
+++ b/forward/testing/stream_origin_test.cc
@@ -158,6 +158,7 @@
   takeUp(E);
   E.Machine.onTimer(at(299));
   CHECK(E.Port.Queries.size() == 1);
+  E.Machine.onSideState(at(300));
   E.Machine.onTimer(at(302));
   CHECK(E.Port.Queries.size() == 2);
   // Late answers of the first round are not counted twice.
@@ -169,6 +170,126 @@
   CHECK(E.Port.Reason == EndReason::UnknownOrigin);
 }
 
+TEST_CASE(
+    "an entry that hears from no side refuses a take-up soon, and not for "
+    "long") {
+  Entry E;
+  takeUp(E);
+  E.Machine.onTimer(at(302));
+  CHECK(E.Port.Queries.size() == 1);
+  CHECK(E.Port.Status == 503);
+  CHECK(E.Port.Reason == EndReason::UnknownOrigin);
+  CHECK(E.Port.RetryAfter < std::chrono::seconds(1));
+}
+
+namespace {
+
+// Engines with these starts of the incarnations, all of software v1.
+void setStarts(Entry &E, uint64_t StartedMs) {
+  const auto C = deployment();
+  uint64_t Revision = 100;
+  for (const char *Id : {"e1", "e2", "e3"}) {
+    UpstreamRecord U = upstream(Id, "engines");
+    U.StartedMs = StartedMs;
+    C->applyUpstream(at(0), {1, Revision++}, Id, &U);
+  }
+  E.Machine.onCatalog(at(0), C);
+}
+
+void reply(Entry &E, int64_t Ms, uint64_t EngineStartedMs) {
+  AdmissionReply R;
+  R.Decision = Verdict::Go;
+  R.EngineStartedMs = EngineStartedMs;
+  const Recorder::SentAdmission A = E.Port.Admissions.back();
+  E.Machine.onAdmission(at(Ms), A.Upstream, A.Request.Id, R);
+}
+
+} // namespace
+
+TEST_CASE("a take-up is not sent to an engine that has started again since its "
+          "record") {
+  Entry E;
+  setStarts(E, 5);
+  takeUp(E);
+  E.Machine.onOrigin(at(2), E.Port.Queries[0], StreamOrigin{"engines", "v1"});
+  reply(E, 3, 7);
+  CHECK(E.Port.Sends.empty());
+  CHECK(E.Port.Admissions.size() == 2);
+  reply(E, 4, 5);
+  CHECK(E.Port.Sends.size() == 1);
+}
+
+TEST_CASE("a reply from before a stall does not let a take-up go on") {
+  Entry E;
+  setStarts(E, 5);
+  takeUp(E);
+  E.Machine.onOrigin(at(2), E.Port.Queries[0], StreamOrigin{"engines", "v1"});
+  E.Machine.onStall(at(3000));
+  reply(E, 3000, 5);
+  CHECK(E.Port.Sends.empty());
+  reply(E, 3002, 5);
+  CHECK(E.Port.Sends.size() == 1);
+}
+
+TEST_CASE("a stream that an uncertain version has begun is continued by none") {
+  for (const bool IsCertain : {true, false}) {
+    CAPTURE(IsCertain);
+    Entry E;
+    setStarts(E, 5);
+    E.call("/resume/x");
+    reply(E, 2, IsCertain ? 5 : 7);
+    REQUIRE(E.Port.Sends.size() == 1);
+    const SendId S = E.Port.Sends.back().Id;
+    E.Machine.onHead(at(5), S, Entry::head(200));
+    E.Machine.onData(at(6), S, "id: 1\n\n");
+    CHECK(E.Port.Origins.size() == (IsCertain ? 1 : 0));
+    const size_t Asked = E.Port.Admissions.size();
+    E.failSend(10);
+    CHECK((E.Port.Admissions.size() > Asked) == IsCertain);
+    CHECK(E.Port.Aborted == !IsCertain);
+  }
+}
+
+TEST_CASE("an entry without sides takes streams up while its records are "
+          "current") {
+  struct Row {
+    const char *Name;
+    bool IsCurrent;
+    bool IsStalled;
+    size_t Sends;
+  };
+  for (const Row &R : {Row{"current", true, false, 1},
+                       Row{"no answer of the store yet", false, false, 0},
+                       Row{"stood still since", true, true, 0}}) {
+    CAPTURE(R.Name);
+    Entry E;
+    setStarts(E, 5);
+    // The sides do not answer; no engine is known to hold the adapter.
+    for (const char *Id : {"a", "b", "c"}) {
+      IncomingCall C = Entry::incoming("/stream/x");
+      C.RequestId = Id;
+      E.Machine.onCall(at(1), 100 + static_cast<uint64_t>(Id[0]), C);
+    }
+    for (int64_t Ms = 10; Ms < 600; Ms += 10)
+      E.Machine.onTimer(at(Ms));
+    REQUIRE(E.Port.Sends.empty());
+    E.Machine.onStall(at(600));
+    if (R.IsCurrent)
+      E.Machine.onCurrentCatalog(at(610));
+    if (R.IsStalled)
+      E.Machine.onStall(at(620));
+    IncomingCall C = Entry::incoming("/resume/x");
+    C.AfterEvent = "5";
+    C.Resumes = "r0";
+    E.Port.Queries.clear();
+    E.Machine.onCall(at(640), 1, C);
+    REQUIRE(E.Port.Queries.size() == 1);
+    E.Machine.onOrigin(at(640), OriginQuery(E.Port.Queries[0]),
+                       StreamOrigin{"engines", "v1"});
+    CHECK(E.Port.Sends.size() == R.Sends);
+  }
+}
+
 TEST_CASE("without a side to ask, a stream that is not known is refused") {
   Entry E;
   E.Port.Sides = 0;
