--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -18,14 +18,15 @@
 #include "daemon/admission_codec.h"
 #include "daemon/catalog_exchange.h"
 #include "daemon/crash_codec.h"
+#include "daemon/crash_probe.h"
 #include "daemon/forward_metrics.h"
 #include "daemon/leaving_codec.h"
 #include "daemon/origin_codec.h"
 #include "daemon/side_connection.h"
+#include "daemon/stall_watch.h"
 #include "forward/forwarder.h"
 #include "forward/origin_keepers.h"
 #include "http/client.h"
-#include "http/connection_check.h"
 #include "http/server.h"
 #include "platform/call_headers.h"
 
@@ -132,7 +133,7 @@
                    http::Responder &Answer) const {
     if (!platform::isReadinessCheck(Request))
       return Answer.respond(404, {}, "");
-    Answer.respond(!Stopping && Forwarder.hasConfig() ? 200 : 503, {}, "");
+    Answer.respond(!Stopping && Forwarder.isReady(now()) ? 200 : 503, {}, "");
   }
 
   // ForwardPort.
@@ -301,12 +302,10 @@
 
   void probe(const UpstreamRecord &Upstream) override {
     Metrics.count("crash_probes_total");
-    http::checkConnection(
-        Io, Upstream.Address, ConnectTimeout,
-        [this, Id = Upstream.Id](http::ConnectionCheck Result) {
-          Forwarder.onProbe(now(), Id,
-                            Result == http::ConnectionCheck::Refused);
-        });
+    probeForCrash(Io, Upstream.Address, ConnectTimeout,
+                  [this, Id = Upstream.Id](forward::ProbeResult Result) {
+                    Forwarder.onProbe(now(), Id, Result);
+                  });
   }
 
   void shareCrash(const forward::CrashReport &Report) override {
@@ -470,6 +469,7 @@
   }
 
   void onSideMessage(const std::string &Address, wire::Envelope &Message) {
+    checkStall();
     Side &From = Sides[Address];
     const std::string Id = From.UpstreamId;
     const Time Now = now();
@@ -494,6 +494,8 @@
       const std::string &Named = Message.engine_load().upstream();
       Forwarder.onLoad(Now, Named.empty() ? Id : Named,
                        decodeLoad(Message.engine_load()));
+      // A side sends its load after everything else that it knows.
+      Forwarder.onSideState(Now);
       onEntries(Message.engine_load().entries());
     }
   }
@@ -515,7 +517,16 @@
     Silent.Connection->reset();
   }
 
+  // To be called before anything that has waited for this process is used.
+  void checkStall() {
+    if (!Stalls.check())
+      return;
+    Sinks.Log(LogClass::Kept, "stall outcome=detected");
+    Forwarder.onStall(now());
+  }
+
   void tick() {
+    checkStall();
     const Time Now = now();
     Forwarder.onTimer(Now);
     exchangeCatalog(Now);
@@ -572,6 +583,7 @@
   std::atomic<size_t> CallCount{0};
   uint64_t LastCallId = 0;
   bool Stopping = false;
+  StallWatch Stalls;
   forward::Forwarder Forwarder;
   Random Rand;
 };
@@ -589,6 +601,11 @@
                     [this, NewCatalog] { Impl->publish(NewCatalog); });
 }
 
+void EntryTraffic::confirmUpstreams(Time AsOf) {
+  boost::asio::post(Impl->Io,
+                    [this, AsOf] { Impl->Forwarder.onCurrentCatalog(AsOf); });
+}
+
 void EntryTraffic::announceStop() {
   boost::asio::post(Impl->Io, [this] {
     Impl->Stopping = true;
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -62,6 +62,7 @@
                       [this] { return Traffic.callsInProgress(); }}) {}
 
   int run() {
+    Store.onCurrent([this](Time AsOf) { Traffic.confirmUpstreams(AsOf); });
     Store.start();
     std::thread Thread([this] { Traffic.run(); });
     Io.run();
@@ -83,6 +84,7 @@
         {"store_calls_total", Store.storeCalls()},
         {"store_reached", Store.inContact() ? 1 : 0},
         {"store_era", Store.storeEra()},
+        {"store_objects_unreadable_total", Store.unreadableObjects()},
         {"upstreams_era", Known.revisions().Upstreams.Era},
         {"config_version", Known.revisions().Config},
         {"upstreams_revision", Known.revisions().Upstreams.Number},
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -104,7 +104,8 @@
 
   void onEntryMessage(const std::string &Peer, wire::Envelope &Message) {
     const Time Now = now();
-    const bool IsNew = LastSeen.insert_or_assign(Peer, Now).second;
+    if (LastSeen.insert_or_assign(Peer, Now).second)
+      welcome(Now, Peer);
     if (Message.has_admission_ask())
       onAdmissionRequest(Now,
                          decodeAdmissionRequest(Message.admission_ask(), Peer));
@@ -119,10 +120,6 @@
     else if (!onOriginMessage(Now, Peer, Message) &&
              !onCrashMessage(Now, Peer, Message))
       onCatalogMessage(Now, Peer, Message);
-    if (IsNew) {
-      sendLoad(Peer, Admission.load(Now));
-      sendLeaving(Peer);
-    }
     requestReport(Now);
     rearmTickIfBusy();
   }
@@ -149,6 +146,8 @@
     std::erase_if(Upstreams, [&](const forward::UpstreamIncarnation &U) {
       return !Leaving.add(Now, U);
     });
+    if (!InstanceId.empty())
+      Leaving.onRecord({InstanceId, StartedMs});
     for (const forward::UpstreamIncarnation &U : Upstreams)
       Control.log("upstream_leaving upstream=" + U.Id +
                   " started_ms=" + std::to_string(U.StartedMs));
@@ -156,13 +155,16 @@
       sendToOthers(From, encodeLeaving(Upstreams));
   }
 
-  // To an entry that may have started after the notices.
-  void sendLeaving(const std::string &Peer) {
-    const std::vector<forward::UpstreamIncarnation> All = Leaving.all();
-    if (All.empty())
-      return;
-    wire::Envelope E = encodeLeaving(All);
-    send(Peer, E);
+  // Sends an entry that may have just started what the other entries know. The
+  // load comes last, and so shows that the rest has arrived.
+  void welcome(Time Now, const std::string &Peer) {
+    for (wire::Envelope &E : Relay.state(Now))
+      send(Peer, E);
+    if (const auto All = Leaving.all(); !All.empty()) {
+      wire::Envelope E = encodeLeaving(All);
+      send(Peer, E);
+    }
+    sendLoad(Peer, Admission.load(Now));
   }
 
   // The engine has answered a request of this process.
@@ -305,7 +307,9 @@
               " starting=" + std::to_string(Admission.report().Waiting) +
               " memory_used=" + std::to_string(Admission.report().MemoryUsed) +
               " rate=" + std::to_string(Admission.load(now()).PrefillRate));
-    wire::Envelope E = encodeReply(Request.Id, Reply);
+    AdmissionReply WithStart = Reply;
+    WithStart.EngineStartedMs = StartedMs;
+    wire::Envelope E = encodeReply(Request.Id, WithStart);
     if (!EntrySocket.send(Request.Peer, E))
       Control.log(LogClass::Routine,
                   "reply outcome=entry_gone ask=" + std::to_string(Request.Id));
@@ -433,6 +437,7 @@
                    if (!R)
                      return;
                    InstanceId = platform::decodeInstanceId(R->Head);
+                   Leaving.onRecord({InstanceId, StartedMs});
                    onEngineAnswer(now(), R->Head);
                    Control.log("engine id=" + InstanceId +
                                " started_ms=" + std::to_string(StartedMs));
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -13,6 +13,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "catalog/catalog.h"
+#include "daemon/unreadable_objects.h"
 #include "platform/store_client.h"
 
 namespace goldcrestlink {
@@ -23,11 +24,15 @@
   /// Called after the catalog has changed.
   using OnChanged = std::function<void()>;
   using OnLog = std::function<void(std::string)>;
+  /// Called when the catalog has all changes of the upstreams that the store
+  /// had made before a time, after OnChanged.
+  using OnCurrent = std::function<void(Time)>;
 
   StoreWatcher(boost::asio::io_context &Io, const http::Endpoint &Store,
                uint64_t Seed, OnChanged NotifyChanged, OnLog Log);
   /// Lists and watches the store from now on, as long as the object exists.
   void start();
+  void onCurrent(OnCurrent Callback) { NotifyCurrent = std::move(Callback); }
   /// Applies newer catalog state received from another process.
   void onCatalogUpdate(const CatalogUpdate &Update);
   /// Sets the number of entries that exchange catalog state, this one included.
@@ -40,15 +45,26 @@
   bool inContact() const { return InContact; }
   uint64_t storeCalls() const { return Store.calls(); }
   uint64_t storeEra() const { return Store.era(); }
+  /// Number of unreadable objects found since the start; one that is read again
+  /// is not counted again.
+  uint64_t unreadableObjects() const { return Unreadable.total(); }
 
 private:
   void logList(std::string_view Kind, StoreRevision Revision,
                const std::vector<platform::StoreObject> &List);
   void onConfigObject(const platform::StoreObject &Object);
+  /// Empty if the object describes no usable upstream, which is logged once.
+  std::optional<UpstreamRecord>
+  readUpstream(const platform::StoreObject &Object);
   void onUpstreams(StoreRevision Revision,
                    const std::vector<platform::StoreObject> &List);
   void onUpstream(const platform::StoreObject &Object);
   void onRelease(const platform::StoreObject &Object);
+  /// Logs an unreadable object once.
+  void noteUnreadable(std::string_view Kind,
+                      const platform::StoreObject &Object,
+                      std::string_view Why);
+  platform::WatchHandlers handlersFor(std::string_view Kind);
   void onContact(bool Reached, std::string_view Why);
   void scheduleNotification();
   void scheduleDeferredCheck();
@@ -57,8 +73,10 @@
   platform::StoreClient Store;
   boost::asio::steady_timer DeferredTimer;
   Catalog KnownCatalog;
+  UnreadableObjects Unreadable;
   OnChanged NotifyChanged;
   OnLog Log;
+  OnCurrent NotifyCurrent;
   bool InContact = true;
   bool NotificationPending = false;
 };
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -23,6 +23,9 @@
 // Retry-After time while no configuration is known or too many calls are in
 // progress.
 constexpr Duration RejectionRetryAfter = std::chrono::milliseconds(500);
+// Retry-After time while the entry waits for the state of a side, which takes a
+// few milliseconds.
+constexpr Duration StartRetryAfter = std::chrono::milliseconds(100);
 // Minimum time between prefetch requests for an adapter to the same engine.
 constexpr Duration PrefetchInterval = std::chrono::seconds(1);
 // When the times of this many prefetch requests are stored, all are dropped.
@@ -46,6 +49,11 @@
   Balancer.retain(CurrentCatalog->upstreams());
   Limits.retain(CurrentCatalog->upstreams());
   Pauses.retain(CurrentCatalog->upstreams());
+  for (const auto &[Id, U] : CurrentCatalog->upstreams())
+    Leaving.onRecord({Id, U.StartedMs});
+  findCrashes(Now);
+  if (hasConfig())
+    Gate.onCatalog(Now, hasEngines());
   onUsableUpstreams(Now);
 }
 
@@ -69,6 +77,14 @@
     sendQueued(Now, Service);
 }
 
+bool Forwarder::hasEngines() const {
+  const auto &All = CurrentCatalog->upstreams();
+  return std::any_of(All.begin(), All.end(), [&](const auto &Item) {
+    const ServiceSpec *Spec = CurrentCatalog->service(Item.second.Service);
+    return Spec && Spec->IsEngine;
+  });
+}
+
 const std::vector<const UpstreamRecord *> &
 Forwarder::upstreamsOf(const std::string &Service) const {
   static const std::vector<const UpstreamRecord *> None;
@@ -135,6 +151,9 @@
   if (!hasConfig())
     return rejectNewCall(Id, Request, 503, RejectionRetryAfter,
                          EndReason::NoConfig);
+  if (!isReady(Now))
+    return rejectNewCall(Id, Request, 503, StartRetryAfter,
+                         EndReason::Starting);
   const std::string_view Path =
       std::string_view(Request.Target).substr(0, Request.Target.find('?'));
   const RouteSpec *Route = CurrentCatalog->route(Request.Host, Path);
@@ -202,6 +221,9 @@
 // Plain services.
 
 void Forwarder::placeOnService(Time Now, ActiveCall &Call) {
+  if (!maySendWithoutSide(Now, Call))
+    return fail(Now, Call, EndReason::VersionUncertain);
+  Call.VersionIsCertain = Versions.isCurrent(Now);
   if (const UpstreamRecord *U = choosePlain(Now, Call)) {
     Call.Upstream = *U;
     return sendTo(Now, Call, 0);
@@ -291,8 +313,7 @@
 
 void Forwarder::placeOnEngine(Time Now, ActiveCall &Call) {
   const EngineRequirements Required = requirementsOf(Call);
-  const std::vector<EngineCandidate> Ranked =
-      Engines.rank(Now, Required, openCandidatesFor(Now, Call));
+  const std::vector<EngineCandidate> Ranked = rankEngines(Now, Call, Required);
   if (Ranked.empty())
     return failWithoutUpstream(Now, Call);
   if (Call.AdmissionRequests == 0)
@@ -307,10 +328,11 @@
     if (Call.AdmissionRequests >= Opts.maxAdmissionRequests())
       break;
     if (!C.SideAnswers) {
-      if (!Limits.allows(Now, C.Upstream->Id))
+      if (!Limits.allows(Now, C.Upstream->Id) || !maySendWithoutSide(Now, Call))
         continue;
       Limits.onSent(Now, C.Upstream->Id);
       Call.Upstream = *C.Upstream;
+      Call.VersionIsCertain = Versions.isCurrent(Now);
       return sendTo(Now, Call, Required.Version);
     }
     return requestAdmission(Now, Call, C, HeldSomewhere);
@@ -353,6 +375,7 @@
   Call.AdmissionId = NextAdmissionId++;
   CallByAdmission[Call.AdmissionId] = Call.Id;
   ++Call.AdmissionRequests;
+  Call.AdmissionRequestedAt = Now;
   Call.CurrentStage = Stage::AdmissionRequested;
   Call.StageUntil = Now + Opts.admissionTimeout();
   schedule(Call.StageUntil, Call.Id);
@@ -388,6 +411,7 @@
 void Forwarder::onAdmission(Time Now, const std::string &UpstreamId,
                             uint64_t AdmissionId, const AdmissionReply &Reply) {
   Engines.onSideAnswered(UpstreamId);
+  SideHeardAt = Now;
   const auto Found = CallByAdmission.find(AdmissionId);
   if (Found == CallByAdmission.end())
     return; // The admission request was ended; the side has been notified.
@@ -401,7 +425,8 @@
       endAdmission(Call);
       return placeOnEngine(Now, Call);
     }
-    return sendTo(Now, Call, Reply.Version);
+    return checkVersion(Now, Call, Reply) ? sendTo(Now, Call, Reply.Version)
+                                          : void();
   case Verdict::Wait:
     Call.CurrentStage = Stage::WaitingAtSide;
     Port.log(
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -30,9 +30,11 @@
 #include "forward/forward_port.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
+#include "forward/start_gate.h"
 #include "forward/stream_position.h"
 #include "forward/upstream_limits.h"
 #include "forward/upstream_pauses.h"
+#include "forward/version_knowledge.h"
 
 namespace goldcrestlink::forward {
 
@@ -108,15 +110,23 @@
   void onAdmission(Time Now, const std::string &UpstreamId,
                    uint64_t AdmissionId, const AdmissionReply &Reply);
   void onLoad(Time Now, const std::string &UpstreamId, const EngineLoad &Load);
+  /// The catalog has all changes of the upstreams before \p AsOf.
+  void onCurrentCatalog(Time AsOf) { Versions.onCurrent(AsOf); }
+  /// The process stood still until \p Now.
+  void onStall(Time Now) { Versions.onStall(Now); }
+  /// A side has sent all that it knows of crashes and of upstreams that leave.
+  void onSideState(Time Now) {
+    Gate.onSideState();
+    SideHeardAt = Now;
+  }
   /// \p Count is the number of live entries, this one included.
   void onEntries(Time Now, size_t Count);
   void onHead(Time Now, SendId Send, AnswerHead Head);
   void onData(Time Now, SendId Send, std::string Part);
   void onDone(Time Now, SendId Send);
   void onError(Time Now, SendId Send, SendError Error, std::string_view Why);
-  /// The result of ForwardPort::probe(). \p Refused: the upstream refused the
-  /// connection.
-  void onProbe(Time Now, const std::string &UpstreamId, bool Refused);
+  /// The result of ForwardPort::probe().
+  void onProbe(Time Now, const std::string &UpstreamId, ProbeResult Result);
   /// Another entry has observed a crash. Returns those of its traits that have
   /// recently produced output here, to be passed to the other entries.
   std::vector<TraitOutput> onCrashReport(Time Now, const CrashReport &Report);
@@ -142,6 +152,9 @@
   bool hasConfig() const {
     return CurrentCatalog && CurrentCatalog->config() != nullptr;
   }
+  /// Whether calls are placed, and not rejected because the entry has just
+  /// started.
+  bool isReady(Time Now) const { return hasConfig() && Gate.isOpen(Now); }
 
 private:
   enum class Stage {
@@ -179,6 +192,10 @@
     // Zero if no admission request is open.
     uint64_t AdmissionId = 0;
     bool UpstreamHoldsAdapter = false;
+    Time AdmissionRequestedAt{};
+    // The upstream of the present send is known to run the software version of
+    // its record.
+    bool VersionIsCertain = false;
     // Time-out of the current stage.
     Time StageUntil{};
     uint32_t AdmissionRequests = 0;
@@ -209,6 +226,7 @@
     std::optional<StreamOrigin> Origin;
     uint32_t OriginRound = 0;
     // Sides asked in this round, and those that do not know the origin.
+    Time OriginAskedAt{};
     size_t OriginAsked = 0;
     size_t OriginAnswers = 0;
     std::string Buffered;
@@ -222,6 +240,8 @@
 
   const std::vector<const UpstreamRecord *> &
   upstreamsOf(const std::string &Service) const;
+  /// Whether there are engines, and so sides.
+  bool hasEngines() const;
   bool isUsable(const std::string &UpstreamId) const;
   bool isUsable(const UpstreamRecord &U) const;
   /// Determines anew which upstreams may get requests, and places calls again
@@ -252,6 +272,16 @@
   void onOriginTimeout(Time Now, ActiveCall &Call);
   void placeTakeUp(Time Now, ActiveCall &Call, StreamOrigin Origin);
   void failTakeUp(Time Now, ActiveCall &Call, EndReason Why);
+  /// Sorts the engines that may run the call; if it goes on with a stream and
+  /// none else is left, also those that only a side could tell more of.
+  std::vector<EngineCandidate>
+  rankEngines(Time Now, const ActiveCall &Call,
+              const EngineRequirements &Required) const;
+  /// Whether the call may be sent without asking the side beside its upstream.
+  bool maySendWithoutSide(Time Now, const ActiveCall &Call) const;
+  /// A side lets the call be sent. Places it anew and returns false if that
+  /// might go on with its stream at another software version.
+  bool checkVersion(Time Now, ActiveCall &Call, const AdmissionReply &Reply);
   /// The call's stream has its first event of this answer.
   void noteOrigin(Time Now, ActiveCall &Call);
   /// Whether \p U may go on with the call's stream, or begin it.
@@ -297,7 +327,7 @@
   ActiveCall *find(SendId Send);
   /// Whether the buffered part of the answer is within the limits.
   bool fitsBuffers(const ActiveCall &Call) const;
-  /// Whether the stream that has ended was not complete.
+  /// Whether the answer that has ended was not complete.
   bool isBrokenOff(const ActiveCall &Call) const;
   /// Learns the limit that an answer names or no longer names.
   void noteLimit(Time Now, const ActiveCall &Call);
@@ -315,6 +345,12 @@
   /// The present send of \p Call broke; requests a probe if its upstream may
   /// have crashed on the call.
   void noteBroken(Time Now, const ActiveCall &Call);
+  /// Looks for upstreams that have crashed in the new catalog.
+  void findCrashes(Time Now);
+  /// Probes upstreams once more that may have crashed.
+  void probeAgain(Time Now);
+  /// This entry has observed a crash.
+  void onCrash(Time Now, const std::string &UpstreamId, CrashReport Report);
   /// The present send of \p Call has produced output.
   void noteOutput(Time Now, ActiveCall &Call);
   /// This entry has quarantined \p Traits.
@@ -361,6 +397,10 @@
   ServiceBalancer Balancer;
   UpstreamLimits Limits;
   StreamOrigins Origins{StreamOrigins::Options()};
+  StartGate Gate;
+  VersionKnowledge Versions;
+  // When a side has last answered or sent its load.
+  Time SideHeardAt{};
   CrashDetector Detector;
   CrashAttribution Crashes;
   // Calls in progress that are isolated, at most one.
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -15,6 +15,8 @@
   switch (Reason) {
   case EndReason::NoConfig:
     return "no_config";
+  case EndReason::Starting:
+    return "starting";
   case EndReason::NoRoute:
     return "no_route";
   case EndReason::BadRequest:
@@ -37,6 +39,8 @@
     return "suspect";
   case EndReason::UnknownOrigin:
     return "unknown_origin";
+  case EndReason::VersionUncertain:
+    return "version_uncertain";
   case EndReason::OriginGone:
     return "origin_gone";
   case EndReason::Paused:
--- a/forward/forwarder_origins.cc
+++ b/forward/forwarder_origins.cc
@@ -50,6 +50,7 @@
   Call.CurrentStage = Stage::OriginRequested;
   ++Call.OriginRound;
   Call.OriginAnswers = 0;
+  Call.OriginAskedAt = Now;
   Call.StageUntil = std::min(Now + Timeout, Now + (Call.Deadline - Now) / 2);
   schedule(Call.StageUntil, Call.Id);
   Call.OriginAsked =
@@ -60,6 +61,7 @@
 
 void Forwarder::onOrigin(Time Now, const OriginQuery &Query,
                          const std::optional<StreamOrigin> &Origin) {
+  SideHeardAt = Now;
   const auto It = Calls.find(Query.Call);
   if (It == Calls.end() || It->second.CurrentStage != Stage::OriginRequested ||
       streamKey(It->second) != Query.Attempt)
@@ -78,9 +80,12 @@
 }
 
 void Forwarder::onOriginTimeout(Time Now, ActiveCall &Call) {
-  if (Call.OriginRound == 1)
+  // An entry that hears from no side is cut off from them, and another one is
+  // likely to know more at once.
+  const bool HearsSides = SideHeardAt >= Call.OriginAskedAt;
+  if (Call.OriginRound == 1 && HearsSides)
     return askForOrigin(Now, Call, KeepersAskedAgain, SecondOriginTimeout);
-  failTakeUp(Now, Call, EndReason::UnknownOrigin);
+  fail(Now, Call, EndReason::UnknownOrigin);
 }
 
 void Forwarder::placeTakeUp(Time Now, ActiveCall &Call, StreamOrigin Origin) {
@@ -108,11 +113,50 @@
   fail(Now, Call, Why);
 }
 
+std::vector<EngineCandidate>
+Forwarder::rankEngines(Time Now, const ActiveCall &Call,
+                       const EngineRequirements &Required) const {
+  const std::vector<const UpstreamRecord *> Open = openCandidatesFor(Now, Call);
+  std::vector<EngineCandidate> Out = Engines.rank(Now, Required, Open);
+  if (!Out.empty() || !Call.Origin)
+    return Out;
+  // An engine reliably refuses what it cannot serve.
+  EngineRequirements Any = Required;
+  Any.AnyWithoutSide = true;
+  return Engines.rank(Now, Any, Open);
+}
+
+bool Forwarder::maySendWithoutSide(Time Now, const ActiveCall &Call) const {
+  return !Call.Origin || Versions.isCurrent(Now);
+}
+
+bool Forwarder::checkVersion(Time Now, ActiveCall &Call,
+                             const AdmissionReply &Reply) {
+  Call.VersionIsCertain =
+      Versions.isCertain(Now, CurrentCatalog->upstreams().at(Call.Upstream.Id),
+                         Reply, Call.AdmissionRequestedAt);
+  if (Call.VersionIsCertain || !Call.Origin)
+    return true;
+  Port.log(LogClass::Kept,
+           "version_uncertain " + describe(Call) +
+               " software=" + Call.Origin->SoftwareVersion +
+               " record_started_ms=" + std::to_string(Call.Upstream.StartedMs) +
+               " engine_started_ms=" + std::to_string(Reply.EngineStartedMs));
+  endAdmission(Call);
+  Call.TriedUpstreams.insert(Call.Upstream.Id);
+  placeOnEngine(Now, Call);
+  return false;
+}
+
 void Forwarder::noteOrigin(Time Now, ActiveCall &Call) {
   if (Call.Repeat != Repeatability::ResumableStream)
     return;
+  // What may be another version than that of the record is none that others
+  // can be compared with.
   if (!Call.Origin)
-    Call.Origin = {Call.Service, Call.Upstream.SoftwareVersion};
+    Call.Origin = {Call.Service, Call.VersionIsCertain
+                                     ? Call.Upstream.SoftwareVersion
+                                     : std::string()};
   if (Call.Origin->SoftwareVersion.empty())
     return;
   Origins.record(Now, streamKey(Call), *Call.Origin);
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -175,8 +175,11 @@
 }
 
 bool Forwarder::isBrokenOff(const ActiveCall &Call) const {
-  if (!isSuccess(Call.Head.Status) || !Call.Head.EventStream)
+  if (!isSuccess(Call.Head.Status))
     return false;
+  // The end of a connection is no sign that an empty body is complete.
+  if (!Call.Head.EventStream)
+    return Call.Head.EndsWithConnection && Call.Buffered.empty();
   return Call.Position.endsEarly(Call.Head.EndsWithConnection);
 }
 
@@ -185,7 +188,7 @@
   if (!Call)
     return;
   if (!Call->Head.NotRun && isBrokenOff(*Call))
-    return onError(Now, Send, SendError::Broken, "stream broken off");
+    return onError(Now, Send, SendError::Broken, "answer broken off");
   if (Call->Head.NotRun) {
     if (Call->Head.OtherInstance) {
       Engines.onReplaced(Call->Upstream.Id);
@@ -199,7 +202,9 @@
 
 void Forwarder::onComplete(Time Now, ActiveCall &Call) {
   const unsigned Status = Call.Head.Status;
-  noteOutput(Now, Call);
+  // An unsigned failure may come from something else at the address.
+  if (Call.Head.Signed)
+    noteOutput(Now, Call);
   finishSend(Now, Call, Status >= 500);
   const std::string Service = Call.Service;
   const bool IsPlain = !Call.IsEngine;
@@ -386,6 +391,7 @@
     Crashes.expire(Now);
     Leaving.expire(Now);
   }
+  probeAgain(Now);
   // The limits of upstreams allow further requests as time passes.
   for (const auto &[Service, Queue] : Queues)
     sendQueued(Now, Service);
@@ -423,8 +429,9 @@
     // An engine reliably refuses what it cannot serve, so sending to it without
     // admission by its side is safe.
     if (Call.UpstreamHoldsAdapter && canSend(Now, Call) &&
-        Limits.allows(Now, Call.Upstream.Id)) {
+        maySendWithoutSide(Now, Call) && Limits.allows(Now, Call.Upstream.Id)) {
       Limits.onSent(Now, Call.Upstream.Id);
+      Call.VersionIsCertain = Versions.isCurrent(Now);
       return sendTo(
           Now, Call,
           CurrentCatalog->releasedVersion(Call.Request.Inference.Model,
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -173,6 +173,8 @@
 struct Entry {
   Entry() : Machine(Forwarder::Options(), Port, 7) {
     Machine.onCatalog(at(0), deployment());
+    Machine.onSideState(at(0));
+    Machine.onCurrentCatalog(at(0));
   }
 
   static IncomingCall incoming(const std::string &Target,
