--- a/forward/testing/stream_origin_test.cc
+++ b/forward/testing/stream_origin_test.cc
@@ -287,6 +287,8 @@
     E.Machine.onOrigin(at(640), OriginQuery(E.Port.Queries[0]),
                        StreamOrigin{"engines", "v1"});
     CHECK(E.Port.Sends.size() == R.Sends);
+    if (R.Sends == 0)
+      CHECK(E.Port.Reason == EndReason::VersionUncertain);
   }
 }
 
