--- a/testing/crash_containment_test.cc
+++ b/testing/crash_containment_test.cc
@@ -204,6 +204,43 @@
     }
 }
 
+TEST_CASE("a deadly request that crashes all upstreams at once is held, and "
+          "sound ones lost beside it are served") {
+  constexpr int Copies = 3;
+  constexpr int SoundRequests = 4;
+  for (const char *Target : {"/once/x", "/read/x"}) {
+    CAPTURE(std::string(Target));
+    PlatformDeployment System(3, 3);
+    for (const size_t Entry : {0, 1})
+      REQUIRE(System.eventuallyServed(Entry, Target));
+    System.Platform.setDeadly("", "dead");
+    const auto SoundBody = [](int I) { return "slow" + std::to_string(I); };
+    for (int Round = 0; Round < 4; ++Round) {
+      CHECK(System.eventuallyServed(0, Target));
+      std::vector<std::future<http::Response>> Callers;
+      const auto Send = [&](int I, const std::string &Body) {
+        Callers.push_back(std::async(std::launch::async, [&, I, Body] {
+          return System.call(static_cast<size_t>(I % 2), Target, "", Body);
+        }));
+      };
+      for (int I = 0; I < SoundRequests; ++I)
+        Send(I, SoundBody(I));
+      for (int I = 0; I < Copies; ++I)
+        Send(I, "dead");
+    }
+    CHECK(System.Platform.crashesByRequests() <=
+          MaxCrashesOfOneRequest + Copies - 1);
+    for (const size_t Entry : {0, 1})
+      for (int I = 0; I < SoundRequests; ++I)
+        CHECK(eventually(
+            [&] {
+              return System.call(Entry, Target, "", SoundBody(I)).Head.Status ==
+                     200;
+            },
+            MaxSoundWaitSeconds));
+  }
+}
+
 TEST_CASE("entries that are killed between two crashes do not forget them") {
   for (const char *Target : {"/once/x", "/stream/x"}) {
     CAPTURE(std::string(Target));
