Take only the operator's object for the configuration

Found by reading: any readable object of the kind was taken for a configuration if its version was higher, so another writer's object could decide over the operator's. With the check removed, odd_record_test fails (testing/mutations.txt).

--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -45,10 +45,12 @@
                          const std::vector<StoreObject> &List) {
     logList(platform::kinds::Config, Revision, List);
     for (const StoreObject &Object : List)
-      onConfigObject(Object);
+      if (Object.Name == platform::kinds::ConfigName)
+        onConfigObject(Object);
   };
   Config.OnChange = [this](const StoreObject &Object) {
-    onConfigObject(Object);
+    if (Object.Name == platform::kinds::ConfigName)
+      onConfigObject(Object);
   };
   Store.watch(platform::kinds::Config, std::move(Config));
 
--- a/testing/odd_record_test.cc
+++ b/testing/odd_record_test.cc
@@ -52,6 +52,7 @@
     for (const size_t Entry : {0, 1})
       REQUIRE(System.eventuallyServed(Entry, "/read/x"));
 
+    System.Platform.putGarbage();
     // In the events of a watch, beside upstreams that leave and one that joins.
     System.Platform.putUpstreamText("odd", R.Spec);
     System.Platform.putUpstreamObjectText("odd2", "{\"metadata\":" + R.Spec +
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -17,6 +17,8 @@
 namespace {
 
 constexpr const char *UnreadableName = "unreadable";
+// Of a configuration that is not the operator's; newer than any of these.
+constexpr int OtherConfigVersion = 1000000;
 
 Json routeSpec(const char *Name, const char *Kind, const char *Service) {
   return {{"name", Name},
@@ -217,6 +219,10 @@
                     {{"service", 7}, {"address", Json::array()}});
     Impl->Store.put("versions", "unreadable", {{"model", nullptr}});
     Impl->Store.put("config", "unreadable", {{"version", "x"}});
+    Impl->Store.put("config", "other",
+                    {{"version", OtherConfigVersion},
+                     {"routes", Json::array()},
+                     {"services", Json::array()}});
   });
 }
 
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -56,7 +56,8 @@
   void drain(const std::string &Name);
   void restore(const std::string &Name);
   void remove(const std::string &Name);
-  /// Writes an invalid upstream record, release and configuration.
+  /// Writes an invalid upstream record, release and configuration, and a valid
+  /// configuration under a name that is not the operator's.
   void putGarbage();
   /// Writes a record of an upstream, or a complete object of that kind, which
   /// need not be valid JSON. An empty text removes it.
