Hold an entry back from its first configuration on, and ask the same side again after a stall

An engine whose reply was from before a stall was not asked again for the same take-up. Records that are readable again are logged once more if they become unreadable.

--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -129,6 +129,7 @@
   try {
     auto Config = std::make_shared<DeploymentConfig>(
         platform::decodeConfig(Object.Content));
+    Unreadable.remove(platform::kinds::Config, Object.Name);
     const uint64_t Version = Config->Version;
     const size_t Routes = Config->Routes.size();
     if (!KnownCatalog.applyConfig(std::move(Config), Object.Content))
@@ -196,6 +197,7 @@
                    "announces no version of weights");
     return;
   }
+  Unreadable.remove(platform::kinds::Releases, Object.Name);
   Record->Revision = Object.Revision;
   const CatalogRevisions Before = KnownCatalog.revisions();
   const bool IsNewer = KnownCatalog.applyRelease(*Record);
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -77,11 +77,9 @@
 }
 
 bool Forwarder::hasEngines() const {
-  const auto &All = CurrentCatalog->upstreams();
-  return std::any_of(All.begin(), All.end(), [&](const auto &Item) {
-    const ServiceSpec *Spec = CurrentCatalog->service(Item.second.Service);
-    return Spec && Spec->IsEngine;
-  });
+  const std::vector<ServiceSpec> &All = CurrentCatalog->config()->Services;
+  return std::any_of(All.begin(), All.end(),
+                     [](const ServiceSpec &S) { return S.IsEngine; });
 }
 
 const std::vector<const UpstreamRecord *> &
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -240,7 +240,7 @@
 
   const std::vector<const UpstreamRecord *> &
   upstreamsOf(const std::string &Service) const;
-  /// Whether there are engines, and so sides.
+  /// Whether the configuration has services of engines, and so sides.
   bool hasEngines() const;
   bool isUsable(const std::string &UpstreamId) const;
   bool isUsable(const UpstreamRecord &U) const;
--- a/forward/forwarder_origins.cc
+++ b/forward/forwarder_origins.cc
@@ -143,7 +143,9 @@
                " record_started_ms=" + std::to_string(Call.Upstream.StartedMs) +
                " engine_started_ms=" + std::to_string(Reply.EngineStartedMs));
   endAdmission(Call);
-  Call.TriedUpstreams.insert(Call.Upstream.Id);
+  // After a stall the same side may be asked again.
+  if (!Versions.mayBeStale(Call.AdmissionRequestedAt))
+    Call.TriedUpstreams.insert(Call.Upstream.Id);
   placeOnEngine(Now, Call);
   return false;
 }
--- a/forward/testing/stream_origin_test.cc
+++ b/forward/testing/stream_origin_test.cc
@@ -224,9 +224,13 @@
   setStarts(E, 5);
   takeUp(E);
   E.Machine.onOrigin(at(2), E.Port.Queries[0], StreamOrigin{"engines", "v1"});
+  const std::string Asked = E.Port.Admissions.back().Upstream;
   E.Machine.onStall(at(3000));
   reply(E, 3000, 5);
   CHECK(E.Port.Sends.empty());
+  // The same side is asked again.
+  CHECK(E.Port.Admissions.size() == 2);
+  CHECK(E.Port.Admissions.back().Upstream == Asked);
   reply(E, 3002, 5);
   CHECK(E.Port.Sends.size() == 1);
 }
--- a/forward/version_knowledge.h
+++ b/forward/version_knowledge.h
@@ -43,11 +43,16 @@
   bool isCurrent(Time Now) const {
     return CurrentAsOf && Now - *CurrentAsOf <= MaxAge;
   }
+  /// Whether the reply to a request of the time \p RequestedAt may be as old as
+  /// that, because the process stood still since.
+  bool mayBeStale(Time RequestedAt) const {
+    return StalledUntil && RequestedAt < *StalledUntil;
+  }
   /// Whether \p Record is of the incarnation whose side has sent \p Reply to
   /// a request of the time \p RequestedAt.
   bool isCertain(Time Now, const UpstreamRecord &Record,
                  const AdmissionReply &Reply, Time RequestedAt) const {
-    if (StalledUntil && RequestedAt < *StalledUntil)
+    if (mayBeStale(RequestedAt))
       return false;
     if (Record.StartedMs == 0 || Reply.EngineStartedMs == 0)
       return isCurrent(Now);
