Pace prompts so that the streams an engine runs keep their longest pause

At the engines' usual rate the prompts sent explain half of a pause: in spells of about 600 ms the engines run at 0.4 of their speed (reports every 10 ms, trial), and 2,000 to 3,000 prompt tokens in such a spell, often of one prompt, stop all streams.

Ruled out: full batches (15 streams at the median), preemption (none), adapter loads, and pacing at the usual rate (trial in the measurements: nothing gained).

Change: the longest pause of a route is known to entry and side. The side measures the engine's step from its reports (StepMeter), predicts the pause that a prompt would cause and whom it would make late (PauseModel), and holds prompts as long as that serves more callers (prompt_pacing). End lines of streams carry their longest pause.

--- a/admission/engine_report.h
+++ b/admission/engine_report.h
@@ -36,6 +36,18 @@
   HeldAdapter Adapter;
 };
 
+/// A request that an engine runs and that has its first token.
+struct EngineRun {
+  /// Hash of the request's id.
+  uint64_t Request = 0;
+  /// Tokens in the engine's memory.
+  uint64_t Tokens = 0;
+  /// Events of its stream so far.
+  uint64_t Events = 0;
+
+  bool operator==(const EngineRun &) const = default;
+};
+
 /// An engine's state. It is up to date at the time of the answer if requested
 /// from the engine's own instance.
 struct EngineReport {
@@ -49,6 +61,9 @@
   /// Requests that the engine has queued, and those that it runs.
   uint32_t Waiting = 0;
   uint32_t Running = 0;
+  /// Whether the engine states its runs, and these.
+  bool HasRuns = false;
+  std::vector<EngineRun> Runs;
   /// Memory in tokens: the part that cannot be freed at present, and the total.
   uint64_t MemoryUsed = 0;
   uint64_t MemoryTotal = 0;
--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -19,6 +19,14 @@
 // entries repeat their prefetch requests.
 constexpr Duration PrefetchExpiry = std::chrono::seconds(1);
 
+// Expected time until an engine that is slow at present has its usual speed
+// again.
+constexpr Duration SlowSpell = std::chrono::milliseconds(250);
+
+// A prompt that has waited this long shares its moment with others as the
+// engine's present speed allows.
+constexpr Duration CautiousWait = std::chrono::milliseconds(150);
+
 // The mean time of a run is taken over about this many.
 constexpr int64_t RunTimeSamples = 16;
 
@@ -43,6 +51,7 @@
 void SideAdmission::onConfig(const Time &Now, const EngineSpec &Engine) {
   Spec = Engine;
   HasSpec = true;
+  Pauses.setTokensPerEvent(Engine.TokensPerEvent);
   placeOrder(Now);
 }
 
@@ -111,6 +120,42 @@
   return RequestRate.allows(Now) && batchHasRoom(expectedTokens(Request));
 }
 
+PromptDecision SideAdmission::promptDecision(const Time &Now,
+                                             const AdmissionRequest &Request,
+                                             const Time &Since) const {
+  PromptDecision Out;
+  if (!Pauses.isKnown())
+    return Out;
+  Out.OthersPending = Pauses.promptTokens(Now) > 0;
+  // A prompt that has not waited long does not share its moment with others if
+  // a slow spell that begins meanwhile would make streams late.
+  Out.StreamsMadeLate = Pauses.streamsLateAfter(
+      Out.OthersPending && Now - Since < CautiousWait
+          ? Pauses.worstPauseWith(Now, Request.PromptTokens, Prefill.rate())
+          : Pauses.pauseWith(Now, Request.PromptTokens, Prefill.rate()));
+  Out.ObjectiveLeft = Request.ObjectiveLeft - (Now - Since);
+  Out.OwnPrefill = fromSeconds(Request.PromptTokens / Prefill.rate() *
+                               Pauses.slowdown(Now) / 1e3);
+  return Out;
+}
+
+Duration SideAdmission::pacingWait(const Time &Now, uint32_t Rank,
+                                   uint64_t Tokens) const {
+  if (!Pauses.isKnown())
+    return Duration(0);
+  uint64_t Ahead = 0;
+  for (const WaitingRequest &W : Queue)
+    if (W.Request.Rank <= Rank && ready(Now, W.Request))
+      Ahead += W.Request.PromptTokens;
+  const double Slowdown = Pauses.slowdown(Now);
+  Duration Out =
+      fromSeconds(static_cast<double>(Ahead) / Prefill.rate() * Slowdown / 1e3);
+  if (Slowdown > 1 && Pauses.streamsLateAfter(
+                          Pauses.pauseWith(Now, Tokens, Prefill.rate())) > 0)
+    Out += SlowSpell;
+  return Out;
+}
+
 Duration SideAdmission::batchWait(const Time &Now, uint64_t Tokens) const {
   if (batchHasRoom(Tokens))
     return Duration(0);
@@ -125,7 +170,8 @@
                                      const AdmissionRequest &Request) const {
   Duration Wait = Prefill.backlog(Now, Request.Rank) +
                   std::max(RequestRate.wait(Now, Queue.size()),
-                           batchWait(Now, expectedTokens(Request)));
+                           batchWait(Now, expectedTokens(Request))) +
+                  pacingWait(Now, Request.Rank, Request.PromptTokens);
   if (!baseModel(Request.Model))
     Wait += Spec.Models.empty() ? std::chrono::seconds(1)
                                 : Spec.Models.front().LoadTime;
@@ -169,7 +215,8 @@
     return refuse(Request, std::chrono::milliseconds(300), true,
                   "engine_unreachable");
   const bool Ready = ready(Now, Request);
-  if (Ready && hasCapacity(Now, Request) && Queue.empty())
+  if (Ready && hasCapacity(Now, Request) && Queue.empty() &&
+      !holdsPrompt(promptDecision(Now, Request, Now)))
     return grant(Now, Request);
   if (const std::string Name = adapterName(Request.Model, Request.Adapter);
       isOutdated(Now, Name) && heldAdapter(Name)->Pins > 0)
@@ -227,6 +274,7 @@
     State.LastUsed = Now;
     Reply.Version = State.Version;
   }
+  G.Request = Request.Request;
   G.Tokens = expectedTokens(Request);
   G.PromptTokens = Request.PromptTokens;
   G.GrantedAt = Now;
@@ -234,6 +282,8 @@
   TokensGranted += G.Tokens;
   G.FoundIdle = Prefill.backlog(Now, BacklogRanks) == Duration(0);
   Prefill.add(Now, Request.Rank, Request.PromptTokens);
+  Pauses.onGrant(Now,
+                 {Request.Request, Request.PromptTokens, Request.MaxPause});
 
   Grants[{Request.Peer, Request.Id}] = std::move(G);
   Port.reply(Request, Reply);
@@ -263,7 +313,8 @@
   MeanRunTime = MeanRunTime == Duration(0)
                     ? RunTime
                     : MeanRunTime + (RunTime - MeanRunTime) / RunTimeSamples;
-  if (FirstToken > Duration(0) && G.FoundIdle)
+  // The rate is that at the engine's usual speed.
+  if (FirstToken > Duration(0) && G.FoundIdle && Pauses.slowdown(Now) <= 1)
     Prefill.learn(G.PromptTokens, FirstToken);
 
   if (!G.Adapter.empty()) {
@@ -272,6 +323,7 @@
       --State->second.Pins;
   }
   TokensGranted -= std::min(TokensGranted, G.Tokens);
+  Pauses.onEnd(G.Request);
   Grants.erase(It);
   serveQueue(Now);
   placeOrder(Now);
@@ -298,6 +350,13 @@
     }
     if (!hasCapacity(Now, It->Request))
       return;
+    const PromptDecision Prompt = promptDecision(Now, It->Request, It->Since);
+    if (holdsPrompt(Prompt)) {
+      if (!mayOvertake(Prompt))
+        return;
+      ++It;
+      continue;
+    }
     const AdmissionRequest Request = std::move(It->Request);
     It = Queue.erase(It);
     grant(Now, Request);
@@ -345,10 +404,10 @@
   Out.Backlog = Prefill.backlogs(Now);
   const Duration Wait =
       std::max(RequestRate.wait(Now, Queue.size()), batchWait(Now, 0));
-  for (Duration &D : Out.Backlog)
-    D += Wait;
+  for (uint32_t Rank = 0; Rank < BacklogRanks; ++Rank)
+    Out.Backlog[Rank] += Wait + pacingWait(Now, Rank, 0);
   Out.RequestLimit = RequestRate.rate();
-  Out.PrefillRate = Prefill.rate();
+  Out.PrefillRate = Prefill.rate() / Pauses.slowdown(Now);
   Out.Utilisation = Prefill.utilisation(Now);
   Out.Running = static_cast<uint32_t>(Grants.size());
   for (const auto &[Name, S] : Adapters) {
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -22,7 +22,9 @@
 
 #include "admission/engine_report.h"
 #include "admission/load_window.h"
+#include "admission/pause_model.h"
 #include "admission/prefill_model.h"
+#include "admission/prompt_pacing.h"
 #include "base/log_class.h"
 #include "base/rate_limit.h"
 #include "catalog/types.h"
@@ -50,6 +52,11 @@
   Duration ObjectiveLeft{};
   /// Time left until the request's deadline.
   Duration TimeLeft{};
+  /// Hash of the caller's request id, as in EngineRun; 0 if not known.
+  uint64_t Request = 0;
+  /// Longest pause between events of its stream that is still on time; zero if
+  /// its route states none.
+  Duration MaxPause{};
   /// Only loads the adapter; no request follows, and no reply is sent.
   bool Prefetch = false;
 };
@@ -209,6 +216,7 @@
 
   struct Grant {
     std::string Adapter; // "model/adapter", empty for the base model.
+    uint64_t Request = 0;
     // Expected memory need in tokens.
     uint64_t Tokens = 0;
     uint32_t PromptTokens = 0;
@@ -255,6 +263,13 @@
   /// Expected time until it does, after the ready requests that wait.
   Duration batchWait(const Time &Now, uint64_t Tokens) const;
   bool hasCapacity(const Time &Now, const AdmissionRequest &Request) const;
+  /// What granting the request now, \p Since its arrival here, would mean.
+  PromptDecision promptDecision(const Time &Now,
+                                const AdmissionRequest &Request,
+                                const Time &Since) const;
+  /// Expected time until the running streams allow its prompt, after those of
+  /// the ready requests that wait ahead of it.
+  Duration pacingWait(const Time &Now, uint32_t Rank, uint64_t Tokens) const;
   void grant(const Time &Now, const AdmissionRequest &Request);
   void refuse(const AdmissionRequest &Request, Duration RetryAfter,
               bool TryElsewhere, std::string_view Reason);
@@ -300,6 +315,7 @@
   Time NextBaseLoadAt{};
   Time NoOrderBefore{};
   PrefillModel Prefill;
+  PauseModel Pauses;
   RateLimit RequestRate;
   // From the grant to the end of a request; zero until one has ended.
   Duration MeanRunTime{};
--- a/admission/side_orders.cc
+++ b/admission/side_orders.cc
@@ -21,6 +21,9 @@
 // Time between reports while no order is in progress, and while one is.
 constexpr Duration IdleReportInterval = std::chrono::milliseconds(250);
 constexpr Duration BusyReportInterval = std::chrono::milliseconds(10);
+// While streams run whose pauses are limited: a few steps of the engine, so
+// that a slow spell is noticed soon after it begins.
+constexpr Duration StreamReportInterval = std::chrono::milliseconds(10);
 // Duration of the fastest adapter loads, those of adapters that the engine held
 // recently. An earlier report cannot show the adapter as loaded.
 constexpr Duration FastLoadTime = std::chrono::milliseconds(24);
@@ -46,6 +49,7 @@
       Grants.clear();
       TokensGranted = 0;
       Prefill.clear(Now);
+      Pauses.clear();
       Adapters.clear();
       OpenOrder.reset();
       NextBaseLoadAt = Now;
@@ -54,6 +58,7 @@
   Reachable = true;
   Report = NewReport;
   ReportedAt = Now;
+  Pauses.onReport(Now, NewReport, Prefill.rate());
   std::map<std::string, AdapterState> Reported;
   const auto AddAdapter = [&](const std::string &Model, const HeldAdapter &A,
                               bool Incoming) {
@@ -91,6 +96,7 @@
       if (Now - Item.second.GrantedAt < LostGrantAge)
         return false;
       TokensGranted -= std::min(TokensGranted, Item.second.Tokens);
+      Pauses.onEnd(Item.second.Request);
       if (const auto It = Adapters.find(Item.second.Adapter);
           It != Adapters.end() && It->second.Pins > 0)
         --It->second.Pins;
@@ -332,7 +338,9 @@
   if (!Reachable)
     return ReportedAt + IdleReportInterval / 2;
   if (!awaitsReport())
-    return ReportedAt + IdleReportInterval;
+    return ReportedAt + (Pauses.isKnown() && Pauses.limitedStreams() > 0
+                             ? StreamReportInterval
+                             : IdleReportInterval);
   Time Due = ReportedAt + BusyReportInterval;
   Time LastOrdered{};
   for (const auto &[Name, S] : Adapters)
--- /dev/null
+++ b/admission/testing/step_meter_test.cc
@@ -0,0 +1,144 @@
+// Unit tests of the parts that predict pauses and pace prompts.
+#include <doctest/doctest.h>
+
+#include "admission/pause_model.h"
+#include "admission/prompt_pacing.h"
+#include "admission/step_meter.h"
+
+using namespace goldcrestlink;
+
+namespace {
+
+Time at(int64_t Ms) { return Time(std::chrono::milliseconds(100000 + Ms)); }
+
+constexpr double Rate = 20;
+
+/// \p Runs requests that have \p Tokens tokens, and \p InPrefill without one.
+EngineReport report(size_t Runs, uint64_t Tokens, uint32_t InPrefill = 0) {
+  EngineReport R;
+  R.HasRuns = true;
+  R.Running = static_cast<uint32_t>(Runs) + InPrefill;
+  for (uint64_t I = 1; I <= Runs; ++I)
+    R.Runs.push_back({I, 1000 + Tokens, Tokens});
+  return R;
+}
+
+/// Reports every 10 ms from \p FromMs to \p ToMs, a token each \p StepMs.
+void play(StepMeter &Steps, int64_t FromMs, int64_t ToMs, int64_t StepMs,
+          uint64_t FirstToken, uint32_t InPrefill = 0) {
+  for (int64_t Ms = FromMs; Ms < ToMs; Ms += 10)
+    Steps.onReport(
+        at(Ms),
+        report(3, FirstToken + static_cast<uint64_t>((Ms - FromMs) / StepMs),
+               InPrefill));
+}
+
+} // namespace
+
+TEST_CASE("a slow spell is noticed within 100 ms and forgotten afterwards") {
+  StepMeter Steps;
+  play(Steps, 0, 2000, 10, 1);
+  CHECK(Steps.slowdown(at(2000)) == 1);
+  CHECK(Steps.usualStep() >= std::chrono::milliseconds(9));
+  CHECK(Steps.usualStep() <= std::chrono::milliseconds(11));
+  play(Steps, 2000, 2100, 30, 201);
+  CHECK(Steps.slowdown(at(2100)) > 2);
+  play(Steps, 2100, 2600, 30, 204);
+  CHECK(Steps.slowdown(at(2600)) > 2.4);
+  play(Steps, 2600, 2700, 10, 221);
+  CHECK(Steps.slowdown(at(2700)) == 1);
+  CHECK(Steps.worstSlowdown(at(2700)) > 2.4);
+}
+
+TEST_CASE("steps that process a prompt are no sign of a slow engine") {
+  StepMeter Steps;
+  play(Steps, 0, 1000, 10, 1);
+  play(Steps, 1000, 1400, 100, 101, 1);
+  CHECK(Steps.slowdown(at(1400)) == 1);
+}
+
+TEST_CASE("an engine that stays slow becomes the usual one") {
+  StepMeter Steps;
+  play(Steps, 0, 1000, 10, 1);
+  play(Steps, 1000, 8000, 40, 101);
+  CHECK(Steps.slowdown(at(8000)) == 1);
+  CHECK(Steps.usualStep() > std::chrono::milliseconds(35));
+}
+
+TEST_CASE("an engine without samples runs as usual") {
+  StepMeter Steps;
+  CHECK(Steps.slowdown(at(0)) == 1);
+  Steps.onReport(at(0), EngineReport());
+  CHECK(Steps.slowdown(at(10)) == 1);
+  Steps.onPrefill(at(20), 9);
+  CHECK(Steps.slowdown(at(20)) > 2);
+  CHECK(Steps.slowdown(at(2000)) == 1);
+}
+
+TEST_CASE("a prompt counts until its request runs, and for one event more") {
+  PauseModel Pauses;
+  Pauses.setTokensPerEvent(2);
+  constexpr Duration MaxPause = std::chrono::milliseconds(300);
+  Pauses.onReport(at(0), report(0, 0), Rate);
+  Pauses.onGrant(at(0), {1, 1000, MaxPause});
+  CHECK(Pauses.promptTokens(at(5)) == 1000);
+  // Nothing runs yet, so nothing can be late.
+  CHECK(Pauses.streamsLateAfter(std::chrono::seconds(1)) == 0);
+  Pauses.onReport(at(60), report(1, 1), Rate);
+  CHECK(Pauses.promptTokens(at(65)) == 1000);
+  CHECK(Pauses.promptTokens(at(100)) == 0);
+  CHECK(Pauses.streamsLateAfter(MaxPause) == 1);
+  CHECK(Pauses.streamsLateAfter(MaxPause / 2) == 0);
+  const Duration Pause = Pauses.pauseWith(at(100), 4000, Rate);
+  CHECK(Pause >= std::chrono::milliseconds(200));
+  CHECK(Pause <= std::chrono::milliseconds(250));
+  Pauses.onEnd(1);
+  CHECK(Pauses.streamsLateAfter(MaxPause) == 0);
+}
+
+TEST_CASE("a stream that has paused too long already has nothing to lose") {
+  PauseModel Pauses;
+  constexpr Duration MaxPause = std::chrono::milliseconds(300);
+  Pauses.onGrant(at(0), {1, 10, MaxPause});
+  Pauses.onReport(at(0), report(1, 1), Rate);
+  Pauses.onReport(at(400), report(1, 2), Rate);
+  CHECK(Pauses.streamsLateAfter(std::chrono::seconds(1)) == 0);
+}
+
+TEST_CASE("routes without a longest pause hold nobody up") {
+  PauseModel Pauses;
+  Pauses.onGrant(at(0), {1, 10, Duration(0)});
+  Pauses.onReport(at(0), report(1, 1), Rate);
+  CHECK(Pauses.streamsLateAfter(std::chrono::seconds(9)) == 0);
+  CHECK(Pauses.limitedStreams() == 0);
+}
+
+TEST_CASE("when a prompt is held") {
+  using namespace std::chrono_literals;
+  struct Row {
+    const char *Name;
+    PromptDecision Prompt;
+    bool Held;
+    bool Overtaken;
+  };
+  const Row Rows[] = {
+      {"nobody would be late", {0, true, 900ms, 50ms}, false, true},
+      {"others are pending", {3, true, 900ms, 50ms}, true, true},
+      {"others are pending, late", {3, true, -900ms, 50ms}, true, false},
+      {"too large at present, in time", {3, false, 500ms, 200ms}, true, false},
+      {"too large, one stream against its own objective",
+       {1, false, 200ms, 200ms},
+       false,
+       false},
+      {"too large, several streams against its own objective",
+       {3, false, 200ms, 200ms},
+       true,
+       false},
+      {"too large, late for long", {3, false, -900ms, 200ms}, false, false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    CHECK(holdsPrompt(R.Prompt) == R.Held);
+    CHECK(mayOvertake(R.Prompt) == R.Overtaken);
+  }
+}
--- a/catalog/types.h
+++ b/catalog/types.h
@@ -50,6 +50,9 @@
   /// Latency objective: answers within this time count in full. For streams,
   /// the time to the first event.
   Duration Objective = std::chrono::seconds(1);
+  /// Longest pause between two events of a stream that still counts as on time;
+  /// zero if the route states none.
+  Duration MaxPause{};
   /// 0 is the most urgent.
   uint32_t Rank = 0;
   /// The maximum number of upstreams that one caller's attempt may be sent to.
@@ -73,6 +76,8 @@
   uint32_t BatchSlots = 1;
   uint64_t MemoryTokens = 0;
   uint32_t AdapterSlots = 0;
+  /// Tokens that an event of a stream holds.
+  uint32_t TokensPerEvent = 1;
   /// Memory for base models and adapters together.
   double WeightsMb = 0;
   std::vector<ModelSpec> Models;
--- a/cli/fleet_view.cc
+++ b/cli/fleet_view.cc
@@ -29,6 +29,8 @@
           {"path_prefix", R.PathPrefix},
           {"rank", R.Rank},
           {"timeout_ms", R.Timeout.count() / 1000},
+          {"objective_ms", R.Objective.count() / 1000},
+          {"max_pause_ms", R.MaxPause.count() / 1000},
           {"max_attempts", R.MaxAttempts},
           {"targets", Targets}};
 }
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -30,6 +30,8 @@
   Message.set_time_left_us(static_cast<uint64_t>(Request.TimeLeft.count()));
   Message.set_prefetch(Request.Prefetch);
   Message.set_objective_left_us(Request.ObjectiveLeft.count());
+  Message.set_request(Request.Request);
+  Message.set_max_pause_us(static_cast<uint64_t>(Request.MaxPause.count()));
   return Out;
 }
 
@@ -48,6 +50,8 @@
   Request.TimeLeft = Duration(static_cast<int64_t>(Message.time_left_us()));
   Request.Prefetch = Message.prefetch();
   Request.ObjectiveLeft = Duration(Message.objective_left_us());
+  Request.Request = Message.request();
+  Request.MaxPause = Duration(static_cast<int64_t>(Message.max_pause_us()));
   return Request;
 }
 
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -6,6 +6,7 @@
 // often otherwise.
 #include "daemon/fleet_side.h"
 
+#include <algorithm>
 #include <map>
 #include <thread>
 
@@ -364,7 +365,9 @@
 
   void armTick() {
     TickIsBusy = isBusy();
-    TickTimer.expires_after(TickIsBusy ? BusyTick : IdleTick);
+    const Duration ToReport = Admission.reportDue(now()) - now();
+    TickTimer.expires_after(
+        TickIsBusy ? BusyTick : std::clamp(ToReport, BusyTick, IdleTick));
     TickTimer.async_wait([this](boost::system::error_code Error) {
       if (!Error)
         tick();
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -175,6 +175,7 @@
   Call.Rank = Route->Rank;
   Call.MaxAttempts = std::max(1u, Route->MaxAttempts);
   Call.Objective = Route->Objective;
+  Call.MaxPause = Route->MaxPause;
   Call.Arrived = Now;
   const Duration TimeLeft = Request.TimeLeft > Duration(0)
                                 ? Request.TimeLeft
@@ -315,6 +316,8 @@
   Admission.MaxWait = Call.MaxWait;
   Admission.ObjectiveLeft = Call.Arrived + Call.Objective - Now;
   Admission.TimeLeft = Call.Deadline - Now;
+  Admission.Request = hash64(Call.Request.RequestId);
+  Admission.MaxPause = Call.MaxPause;
   Engines.onSent(Now, Call.Upstream.Id, requirementsOf(Call),
                  Limits.interval(Call.Upstream.Id));
   Port.requestAdmission(Call.Upstream, Admission);
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -28,6 +28,7 @@
 #include "forward/crash_detector.h"
 #include "forward/engine_ranker.h"
 #include "forward/forward_port.h"
+#include "forward/pause_meter.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
 #include "forward/start_gate.h"
@@ -185,6 +186,8 @@
     uint32_t Rank = 0;
     uint32_t MaxAttempts = 1;
     Duration Objective{};
+    // Longest pause between events that is still on time; zero: not stated.
+    Duration MaxPause{};
     Time Arrived;
     Time Deadline;
     // Where admission was requested or the call was sent last.
@@ -222,6 +225,7 @@
     // progress.
     bool Isolated = false;
     StreamPosition Position;
+    PauseMeter EventPauses;
     // Set once the stream has an event.
     std::optional<StreamOrigin> Origin;
     uint32_t OriginRound = 0;
@@ -379,6 +383,8 @@
   /// What crashes of \p Call are attributed to: its content as the hash that
   /// identifies repeats, and its shared prompt parts.
   std::string describeContent(const ActiveCall &Call) const;
+  /// The longest pause of a stream, for its end line; empty for other calls.
+  std::string describePause(Time Now, const ActiveCall &Call) const;
 
   Options Opts;
   ForwardPort &Port;
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -64,6 +64,17 @@
   return Out;
 }
 
+std::string Forwarder::describePause(Time Now, const ActiveCall &Call) const {
+  if (!Call.Streaming)
+    return {};
+  const PauseMeter::Pause &P = Call.EventPauses.longest();
+  std::string Out = " pause_ms=" + std::to_string(P.Length.count() / 1000);
+  if (P.Length > Duration(0))
+    Out += " pause_ago_ms=" + std::to_string((Now - P.EndedAt).count() / 1000) +
+           " pause_in=" + (P.BetweenSends ? "resume" : "engine");
+  return Out;
+}
+
 std::string Forwarder::describeContent(const ActiveCall &Call) const {
   const std::vector<uint64_t> &Parts = Call.Request.Inference.SharedParts;
   char Content[32];
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -150,6 +150,7 @@
   }
   if (!Complete.empty()) {
     noteOutput(Now, *Call);
+    Call->EventPauses.onEvents(Now, Call->Sends);
     Call->CurrentStage = Stage::Streaming;
     if (!Call->HeadForwarded) {
       noteOrigin(Now, *Call);
@@ -372,7 +373,8 @@
                              ? -1
                              : (Call.FirstByteAt - Call.Arrived).count() /
                                    1000) +
-          " total_ms=" + std::to_string((Now - Call.Arrived).count() / 1000));
+          " total_ms=" + std::to_string((Now - Call.Arrived).count() / 1000) +
+          describePause(Now, Call));
   Port.record(Call.Rank, Outcome,
               Call.FirstByteAt == Time{} ? Duration(0)
                                          : Call.FirstByteAt - Call.Arrived,
