Count only the part of a prompt that an engine has not read (late large prompts)

The entry passes on the shared parts of a prompt; the side remembers which ones its engine has read lately (KeptParts), and holds a prompt only for streams that would not be late anyway. Sides also report adapters that are being loaded, the streams that a pause would make late, and how slow the engine may become.

--- a/admission/pause_model.cc
+++ b/admission/pause_model.cc
@@ -118,6 +118,11 @@
                  Steps.slowdown(Now) > 1 ? Steps.worstSlowdown(Now) : 1);
 }
 
+Duration PauseModel::pauseAlone(uint64_t Tokens, double Rate) const {
+  return Steps.usualStep() * TokensPerEvent +
+         fromSeconds(static_cast<double>(Tokens) / Rate / 1e3);
+}
+
 Duration PauseModel::worstPauseWith(Time Now, uint64_t Tokens,
                                     double Rate) const {
   return pauseAt(Now, Tokens, Rate, Steps.worstSlowdown(Now));
--- a/admission/pause_model.h
+++ b/admission/pause_model.h
@@ -60,6 +60,8 @@
   Duration pauseWith(Time Now, uint64_t Tokens, double Rate) const;
   /// The same if the engine became as slow as it has been lately.
   Duration worstPauseWith(Time Now, uint64_t Tokens, double Rate) const;
+  /// The pause that the prompt causes by itself at the engine's usual speed.
+  Duration pauseAlone(uint64_t Tokens, double Rate) const;
   /// Number of running streams, on time so far, that a pause of \p Pause would
   /// make late.
   size_t streamsLateAfter(Duration Pause) const;
@@ -69,6 +71,7 @@
   /// Number of running streams whose routes limit their pauses.
   size_t limitedStreams() const;
   double slowdown(Time Now) const { return Steps.slowdown(Now); }
+  double worstSlowdown(Time Now) const { return Steps.worstSlowdown(Now); }
   /// Time between two events of a stream while no prompt is processed.
   Duration eventTime(Time Now) const;
 
--- a/admission/prompt_pacing.cc
+++ b/admission/prompt_pacing.cc
@@ -23,7 +23,8 @@
 } // namespace
 
 bool holdsPrompt(const PromptDecision &Prompt) {
-  if (Prompt.StreamsMadeLate == 0)
+  // Holding a prompt that is always too large would help nobody.
+  if (Prompt.StreamsMadeLate <= Prompt.StreamsLateAnyway)
     return false;
   if (Prompt.OthersPending)
     return true;
--- a/admission/prompt_pacing.h
+++ b/admission/prompt_pacing.h
@@ -17,6 +17,9 @@
 struct PromptDecision {
   /// Running streams that would be late because of it.
   size_t StreamsMadeLate = 0;
+  /// Those of them that would be late also if it were given to the engine by
+  /// itself and at its usual speed.
+  size_t StreamsLateAnyway = 0;
   /// Other prompts are being processed, and will be done soon.
   bool OthersPending = false;
   /// Time left until the request's objective for its first token; may be
--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -120,22 +120,31 @@
   return RequestRate.allows(Now) && batchHasRoom(expectedTokens(Request));
 }
 
+uint32_t SideAdmission::unreadTokens(const Time &Now,
+                                     const AdmissionRequest &Request) const {
+  return Request.PromptTokens -
+         std::min(Request.PromptTokens, Kept.tokens(Now, Request.Parts));
+}
+
 PromptDecision SideAdmission::promptDecision(const Time &Now,
                                              const AdmissionRequest &Request,
                                              const Time &Since) const {
   PromptDecision Out;
   if (!Pauses.isKnown())
     return Out;
+  const uint32_t Tokens = unreadTokens(Now, Request);
   Out.OthersPending = Pauses.promptTokens(Now) > 0;
   // A prompt that has not waited long does not share its moment with others if
   // a slow spell that begins meanwhile would make streams late.
   Out.StreamsMadeLate = Pauses.streamsLateAfter(
       Out.OthersPending && Now - Since < CautiousWait
-          ? Pauses.worstPauseWith(Now, Request.PromptTokens, Prefill.rate())
-          : Pauses.pauseWith(Now, Request.PromptTokens, Prefill.rate()));
+          ? Pauses.worstPauseWith(Now, Tokens, Prefill.rate())
+          : Pauses.pauseWith(Now, Tokens, Prefill.rate()));
+  Out.StreamsLateAnyway =
+      Pauses.streamsLateAfter(Pauses.pauseAlone(Tokens, Prefill.rate()));
   Out.ObjectiveLeft = Request.ObjectiveLeft - (Now - Since);
-  Out.OwnPrefill = fromSeconds(Request.PromptTokens / Prefill.rate() *
-                               Pauses.slowdown(Now) / 1e3);
+  Out.OwnPrefill =
+      fromSeconds(Tokens / Prefill.rate() * Pauses.slowdown(Now) / 1e3);
   return Out;
 }
 
@@ -146,7 +155,7 @@
   uint64_t Ahead = 0;
   for (const WaitingRequest &W : Queue)
     if (W.Request.Rank <= Rank && ready(Now, W.Request))
-      Ahead += W.Request.PromptTokens;
+      Ahead += unreadTokens(Now, W.Request);
   const double Slowdown = Pauses.slowdown(Now);
   Duration Out =
       fromSeconds(static_cast<double>(Ahead) / Prefill.rate() * Slowdown / 1e3);
@@ -171,7 +180,7 @@
   Duration Wait = Prefill.backlog(Now, Request.Rank) +
                   std::max(RequestRate.wait(Now, Queue.size()),
                            batchWait(Now, expectedTokens(Request))) +
-                  pacingWait(Now, Request.Rank, Request.PromptTokens);
+                  pacingWait(Now, Request.Rank, unreadTokens(Now, Request));
   if (!baseModel(Request.Model))
     Wait += Spec.Models.empty() ? std::chrono::seconds(1)
                                 : Spec.Models.front().LoadTime;
@@ -276,14 +285,14 @@
   }
   G.Request = Request.Request;
   G.Tokens = expectedTokens(Request);
-  G.PromptTokens = Request.PromptTokens;
+  G.PromptTokens = unreadTokens(Now, Request);
   G.GrantedAt = Now;
   G.ExpiresAt = Now + Request.TimeLeft + GrantGracePeriod;
   TokensGranted += G.Tokens;
   G.FoundIdle = Prefill.backlog(Now, BacklogRanks) == Duration(0);
-  Prefill.add(Now, Request.Rank, Request.PromptTokens);
-  Pauses.onGrant(Now,
-                 {Request.Request, Request.PromptTokens, Request.MaxPause});
+  Prefill.add(Now, Request.Rank, G.PromptTokens);
+  Pauses.onGrant(Now, {Request.Request, G.PromptTokens, Request.MaxPause});
+  Kept.onGrant(Now, Request.Parts);
 
   Grants[{Request.Peer, Request.Id}] = std::move(G);
   Port.reply(Request, Reply);
@@ -409,13 +418,17 @@
   Out.RequestLimit = RequestRate.rate();
   Out.PrefillRate = Prefill.rate() / Pauses.slowdown(Now);
   Out.Utilisation = Prefill.utilisation(Now);
+  Out.StreamsOnTime =
+      static_cast<uint32_t>(Pauses.streamsLateAfter(std::chrono::hours(1)));
+  Out.SlowdownRisk =
+      std::max(1.0, Pauses.worstSlowdown(Now) / Pauses.slowdown(Now));
   Out.Running = static_cast<uint32_t>(Grants.size());
   for (const auto &[Name, S] : Adapters) {
-    if (S.Incoming || isOutdated(Now, Name))
+    if (isOutdated(Now, Name))
       continue;
     const size_t Slash = Name.find('/');
-    Out.Held.push_back(
-        adapterHash(Name.substr(0, Slash), Name.substr(Slash + 1)));
+    (S.Incoming ? Out.Incoming : Out.Held)
+        .push_back(adapterHash(Name.substr(0, Slash), Name.substr(Slash + 1)));
   }
   return Out;
 }
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "admission/engine_report.h"
+#include "admission/kept_parts.h"
 #include "admission/load_window.h"
 #include "admission/pause_model.h"
 #include "admission/prefill_model.h"
@@ -54,6 +55,8 @@
   Duration TimeLeft{};
   /// Hash of the caller's request id, as in EngineRun; 0 if not known.
   uint64_t Request = 0;
+  /// Parts of its prompt that other requests may share, in prompt order.
+  std::vector<PromptPart> Parts;
   /// Longest pause between events of its stream that is still on time; zero if
   /// its route states none.
   Duration MaxPause{};
@@ -95,10 +98,16 @@
   double Utilisation = 0;
   /// Number of granted requests that have not ended.
   uint32_t Running = 0;
+  /// Running streams with a longest pause, on time so far.
+  uint32_t StreamsOnTime = 0;
+  /// How much slower the engine may become, as it has been lately; at least 1.
+  double SlowdownRisk = 1;
   /// Requests per second that the engine takes; 0: no limit.
   double RequestLimit = 0;
   /// Adapters that are ready for requests, by adapterHash().
   std::vector<uint32_t> Held;
+  /// Adapters that are being loaded.
+  std::vector<uint32_t> Incoming;
 
   bool operator==(const EngineLoad &) const = default;
 };
@@ -263,6 +272,8 @@
   /// Expected time until it does, after the ready requests that wait.
   Duration batchWait(const Time &Now, uint64_t Tokens) const;
   bool hasCapacity(const Time &Now, const AdmissionRequest &Request) const;
+  /// Prompt tokens that the engine would have to process.
+  uint32_t unreadTokens(const Time &Now, const AdmissionRequest &Request) const;
   /// What granting the request now, \p Since its arrival here, would mean.
   PromptDecision promptDecision(const Time &Now,
                                 const AdmissionRequest &Request,
@@ -316,6 +327,7 @@
   Time NoOrderBefore{};
   PrefillModel Prefill;
   PauseModel Pauses;
+  KeptParts Kept;
   RateLimit RequestRate;
   // From the grant to the end of a request; zero until one has ended.
   Duration MeanRunTime{};
--- a/admission/side_orders.cc
+++ b/admission/side_orders.cc
@@ -50,6 +50,7 @@
       TokensGranted = 0;
       Prefill.clear(Now);
       Pauses.clear();
+      Kept.clear();
       Adapters.clear();
       OpenOrder.reset();
       NextBaseLoadAt = Now;
--- a/admission/testing/step_meter_test.cc
+++ b/admission/testing/step_meter_test.cc
@@ -1,6 +1,7 @@
 // Unit tests of the parts that predict pauses and pace prompts.
 #include <doctest/doctest.h>
 
+#include "admission/kept_parts.h"
 #include "admission/pause_model.h"
 #include "admission/prompt_pacing.h"
 #include "admission/step_meter.h"
@@ -122,19 +123,26 @@
     bool Overtaken;
   };
   const Row Rows[] = {
-      {"nobody would be late", {0, true, 900ms, 50ms}, false, true},
-      {"others are pending", {3, true, 900ms, 50ms}, true, true},
-      {"others are pending, late", {3, true, -900ms, 50ms}, true, false},
-      {"too large at present, in time", {3, false, 500ms, 200ms}, true, false},
+      {"nobody would be late", {0, 0, true, 900ms, 50ms}, false, true},
+      {"too large for the streams at any time",
+       {3, 3, false, 900ms, 300ms},
+       false,
+       true},
+      {"others are pending", {3, 0, true, 900ms, 50ms}, true, true},
+      {"others are pending, late", {3, 0, true, -900ms, 50ms}, true, false},
+      {"too large at present, in time",
+       {3, 0, false, 500ms, 200ms},
+       true,
+       false},
       {"too large, one stream against its own objective",
-       {1, false, 200ms, 200ms},
+       {1, 0, false, 200ms, 200ms},
        false,
        false},
       {"too large, several streams against its own objective",
-       {3, false, 200ms, 200ms},
+       {3, 0, false, 200ms, 200ms},
        true,
        false},
-      {"too large, late for long", {3, false, -900ms, 200ms}, false, false},
+      {"too large, late for long", {3, 0, false, -900ms, 200ms}, false, false},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
@@ -142,3 +150,27 @@
     CHECK(mayOvertake(R.Prompt) == R.Overtaken);
   }
 }
+
+TEST_CASE("parts of prompts count as kept once read, in prompt order") {
+  const std::vector<PromptPart> Prompt = {{11, 200}, {12, 350}};
+  const std::vector<PromptPart> Sibling = {{11, 200}, {13, 300}};
+  KeptParts Kept;
+  CHECK(Kept.tokens(at(0), Prompt) == 0);
+  Kept.onGrant(at(0), Prompt);
+  // The engine is still reading them.
+  CHECK(Kept.tokens(at(50), Prompt) == 0);
+  CHECK(Kept.tokens(at(500), Prompt) == 350);
+  CHECK(Kept.tokens(at(500), Sibling) == 200);
+  Kept.onGrant(at(10000), Prompt);
+  CHECK(Kept.tokens(at(20000), Prompt) == 350);
+  CHECK(Kept.tokens(at(60000), Prompt) == 0);
+  Kept.clear();
+  CHECK(Kept.tokens(at(20000), Prompt) == 0);
+  // Memory stays bounded, and the latest parts are known all the same.
+  for (uint64_t Key = 100; Key < 100 + 3 * KeptParts::MaxParts; ++Key)
+    Kept.onGrant(at(static_cast<int64_t>(100000 + Key * 20)),
+                 std::vector<PromptPart>{{Key, 10}});
+  const uint64_t Last = 99 + 3 * KeptParts::MaxParts;
+  CHECK(Kept.tokens(at(static_cast<int64_t>(100000 + Last * 20 + 400)),
+                    std::vector<PromptPart>{{Last, 10}}) == 10);
+}
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -31,6 +31,10 @@
   Message.set_prefetch(Request.Prefetch);
   Message.set_objective_left_us(Request.ObjectiveLeft.count());
   Message.set_request(Request.Request);
+  for (const PromptPart &P : Request.Parts) {
+    Message.add_part_keys(P.Key);
+    Message.add_part_tokens(P.TokensToEnd);
+  }
   Message.set_max_pause_us(static_cast<uint64_t>(Request.MaxPause.count()));
   return Out;
 }
@@ -51,6 +55,9 @@
   Request.Prefetch = Message.prefetch();
   Request.ObjectiveLeft = Duration(Message.objective_left_us());
   Request.Request = Message.request();
+  for (int I = 0;
+       I < std::min(Message.part_keys_size(), Message.part_tokens_size()); ++I)
+    Request.Parts.push_back({Message.part_keys(I), Message.part_tokens(I)});
   Request.MaxPause = Duration(static_cast<int64_t>(Message.max_pause_us()));
   return Request;
 }
@@ -103,9 +110,14 @@
   Message.set_utilisation_percent(
       static_cast<uint32_t>(Load.Utilisation * 100));
   Message.set_running(Load.Running);
+  Message.set_streams_on_time(Load.StreamsOnTime);
+  Message.set_slowdown_risk_percent(
+      static_cast<uint32_t>(Load.SlowdownRisk * 100));
   Message.set_limit_per_1000_s(toWireRate(Load.RequestLimit));
   for (const uint32_t Hash : Load.Held)
     Message.add_held(Hash);
+  for (const uint32_t Hash : Load.Incoming)
+    Message.add_incoming(Hash);
   Message.set_upstream(std::string(UpstreamId));
   Message.set_entries(static_cast<uint32_t>(EntryCount));
   return Out;
@@ -122,8 +134,11 @@
       std::max(MinPrefillTokensPerMs, Message.prefill_tokens_per_s() / 1000.0);
   Load.Utilisation = Message.utilisation_percent() / 100.0;
   Load.Running = Message.running();
+  Load.StreamsOnTime = Message.streams_on_time();
+  Load.SlowdownRisk = std::max(1.0, Message.slowdown_risk_percent() / 100.0);
   Load.RequestLimit = static_cast<double>(Message.limit_per_1000_s()) / 1000;
   Load.Held.assign(Message.held().begin(), Message.held().end());
+  Load.Incoming.assign(Message.incoming().begin(), Message.incoming().end());
   return Load;
 }
 
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -327,8 +327,9 @@
 
   void sendLoadIfChanged(Time Now) {
     const EngineLoad Load = Admission.load(Now);
-    const bool Changed =
-        Load.Held != LastLoad.Held || Load.Serving != LastLoad.Serving;
+    const bool Changed = Load.Held != LastLoad.Held ||
+                         Load.Incoming != LastLoad.Incoming ||
+                         Load.Serving != LastLoad.Serving;
     const bool Unchanged = Load == LastLoad;
     if (Now - LoadSentAt <
             (Changed ? MinChangedLoadInterval : MinLoadInterval) ||
--- a/forward/call.h
+++ b/forward/call.h
@@ -26,6 +26,8 @@
   /// order. The last part, which belongs to the request or its session, is left
   /// out.
   std::vector<uint64_t> SharedParts = {};
+  /// Numbers of tokens of these parts, 0 if not stated.
+  std::vector<uint32_t> SharedTokens = {};
 };
 
 /// A caller's request as received.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -31,6 +31,19 @@
 constexpr Duration PrefetchInterval = std::chrono::seconds(1);
 // When the times of this many prefetch requests are stored, all are dropped.
 constexpr size_t MaxPrefetchRecords = 16384;
+std::vector<PromptPart> promptParts(const InferenceParams &Params) {
+  std::vector<PromptPart> Out;
+  uint64_t Key = hash64(adapterName(Params.Model, Params.Adapter));
+  uint32_t Tokens = 0;
+  for (size_t I = 0;
+       I < std::min(Params.SharedParts.size(), Params.SharedTokens.size());
+       ++I) {
+    Key = mixHash(Key, Params.SharedParts[I]);
+    Tokens = std::min(Tokens + Params.SharedTokens[I], Params.PromptTokens);
+    Out.push_back({Key, Tokens});
+  }
+  return Out;
+}
 } // namespace
 
 Forwarder::Forwarder(Options O, ForwardPort &InPort, uint64_t Seed)
@@ -318,6 +331,7 @@
   Admission.TimeLeft = Call.Deadline - Now;
   Admission.Request = hash64(Call.Request.RequestId);
   Admission.MaxPause = Call.MaxPause;
+  Admission.Parts = promptParts(Call.Request.Inference);
   Engines.onSent(Now, Call.Upstream.Id, requirementsOf(Call),
                  Limits.interval(Call.Upstream.Id));
   Port.requestAdmission(Call.Upstream, Admission);
