Load an adapter once, where its prompt hurts least; move calls that wait

Cause: an adapter without much demand was loaded again on the first engine of its order, though another one held it, whenever the holder had prompts pending; a new one always went to that first engine, however many streams it ran; and a call waited at a slow side while another holder was idle, since entries know loads that are up to 250 ms old.

Now low demand has one copy, wherever it is held, being loaded or was held lately; an adapter that is held nowhere goes to one of three engines, by what its prompt would do to running streams; and a call that is told to wait moves to a holder that is sooner by 150 ms.

Tests: engine_ranker_test, and 'a call that would wait moves to a holder that is clearly sooner'.

--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -28,6 +28,21 @@
 // Prompt tokens per millisecond, while no engine has reported its rate.
 constexpr double DefaultPrefillRate = 20;
 
+// Adapters known to have been held until lately, for each engine.
+constexpr size_t MaxEvictedKnown = 64;
+// A side reports a load that an entry has caused within this time.
+constexpr Duration RequestedExpiry = std::chrono::milliseconds(300);
+// Time to load an adapter from the engine's own memory.
+constexpr Duration ReloadTime = std::chrono::milliseconds(30);
+// Part of the longest pause that sides plan for.
+constexpr double PlannedPauseShare = 0.8;
+// Probability that an engine becomes slow while it processes a prompt.
+constexpr double SlowSpellProbability = 0.15;
+
+template <class Hashes> bool contains(const Hashes &In, uint32_t Hash) {
+  return std::find(In.begin(), In.end(), Hash) != In.end();
+}
+
 double decay(Duration Age, double TimeConstant) {
   return std::exp(-seconds(Age) / TimeConstant);
 }
@@ -36,7 +51,19 @@
 void EngineRanker::onLoad(Time Now, const std::string &Id,
                           const EngineLoad &Load) {
   EngineState &State = States[Id];
+  for (const uint32_t Hash : State.Load.Held)
+    if (Load.Serving && !contains(Load.Held, Hash) &&
+        !contains(State.Evicted, Hash))
+      State.Evicted.push_front(Hash);
+  if (State.Evicted.size() > MaxEvictedKnown)
+    State.Evicted.resize(MaxEvictedKnown);
+  // An engine that starts anew holds nothing of before.
+  if (!Load.Serving)
+    State.Evicted.clear();
   State.Load = Load;
+  std::erase_if(State.Requested, [&](const auto &Item) {
+    return Now - Item.second > RequestedExpiry;
+  });
   State.Known = true;
   for (size_t Row = 0; Row < BacklogRanks; ++Row)
     State.BacklogEnd[Row] = Now + Load.Backlog[Row];
@@ -83,6 +110,10 @@
   EngineState &State = States[Id];
   const Duration PrefillTime(static_cast<int64_t>(
       Required.PromptTokens * 1000.0 / State.Load.PrefillRate));
+  const uint32_t Hash = adapterHash(Required.Model, Required.Adapter);
+  if (!Required.Adapter.empty() && !contains(State.Load.Held, Hash) &&
+      State.Requested.size() < MaxEvictedKnown)
+    State.Requested.push_back({Hash, Now});
   // The engine prefills more urgent prompts first, so they do not wait for this
   // one.
   for (size_t Row = backlogRow(Required.Rank); Row < BacklogRanks; ++Row)
@@ -137,6 +168,28 @@
   return 1 + static_cast<size_t>(PrefillLoad / Opts.adapterUtilisationLimit());
 }
 
+bool EngineRanker::isComing(Time Now, const EngineState &State, uint32_t Hash) {
+  return contains(State.Load.Incoming, Hash) ||
+         std::any_of(State.Requested.begin(), State.Requested.end(),
+                     [&](const auto &Item) {
+                       return Item.first == Hash &&
+                              Now - Item.second <= RequestedExpiry;
+                     });
+}
+
+Duration EngineRanker::pauseCost(const EngineState &State,
+                                 const EngineRequirements &Required,
+                                 uint32_t Tokens) const {
+  const double LimitMs = seconds(Required.MaxPause) * 1e3 * PlannedPauseShare;
+  const double PauseMs = Tokens / State.Load.PrefillRate;
+  if (LimitMs <= 0 || PauseMs * State.Load.SlowdownRisk <= LimitMs)
+    return Duration(0);
+  const double Probability = PauseMs > LimitMs ? 1 : SlowSpellProbability;
+  return Duration(
+      static_cast<int64_t>(static_cast<double>(Opts.lateStreamCost().count()) *
+                           Probability * State.Load.StreamsOnTime));
+}
+
 std::vector<EngineCandidate> EngineRanker::rank(
     Time Now, const EngineRequirements &Required,
     std::span<const UpstreamRecord *const> ReadyUpstreams) const {
@@ -150,6 +203,13 @@
   std::vector<EngineCandidate> Out;
   static const EngineState Unknown;
   size_t Position = 0;
+  const bool HeldNowhere =
+      std::none_of(States.begin(), States.end(), [&](const auto &Item) {
+        const EngineState &S = Item.second;
+        return contains(S.Load.Held, AdapterHash) ||
+               isComing(Now, S, AdapterHash) ||
+               contains(S.Evicted, AdapterHash);
+      });
   for (const auto &[Score, U] : Order) {
     const auto It = States.find(U->Id);
     const EngineState &State = It == States.end() ? Unknown : It->second;
@@ -157,31 +217,48 @@
       continue;
     EngineCandidate Candidate;
     Candidate.Upstream = U;
-    Candidate.IsPreferred = Position < PreferredCount;
+    // The one copy that low demand needs is where the adapter was loaded.
+    Candidate.IsPreferred =
+        Position < PreferredCount && (HeldNowhere || PreferredCount > 1);
     ++Position;
     Candidate.SideAnswers = Now >= State.SideBackoffUntil;
     Candidate.HoldsAdapter =
-        Required.Adapter.empty() ||
-        std::find(State.Load.Held.begin(), State.Load.Held.end(),
-                  AdapterHash) != State.Load.Held.end();
+        Required.Adapter.empty() || contains(State.Load.Held, AdapterHash);
+    const bool HeldLately =
+        !Candidate.HoldsAdapter && contains(State.Evicted, AdapterHash);
+    const bool Coming =
+        !Candidate.HoldsAdapter && isComing(Now, State, AdapterHash);
+    Candidate.IsHome = HeldNowhere && Position <= Opts.homeEngines();
     if (!Candidate.SideAnswers && !Candidate.HoldsAdapter &&
         !Required.AnyWithoutSide)
       continue;
+    const uint32_t Tokens =
+        Required.PromptTokens -
+        (Candidate.HoldsAdapter
+             ? std::min(Required.PromptTokens, Required.SharedTokens)
+             : 0);
     Candidate.Expected =
         std::max(Duration(0),
                  State.BacklogEnd[backlogRow(Required.Rank)] - Now) +
-        Duration(static_cast<int64_t>(Required.PromptTokens * 1000.0 /
-                                      State.Load.PrefillRate));
-    if (!Candidate.HoldsAdapter)
-      Candidate.Expected +=
-          Candidate.IsPreferred ? Opts.preferredLoadTime() : Opts.loadTime();
+        Duration(
+            static_cast<int64_t>(Tokens * 1000.0 / State.Load.PrefillRate));
+    if (HeldLately)
+      Candidate.Expected += ReloadTime;
+    else if (Coming)
+      Candidate.Expected += Opts.preferredLoadTime();
+    else if (!Candidate.HoldsAdapter)
+      Candidate.Expected += Candidate.IsPreferred || Candidate.IsHome
+                                ? Opts.preferredLoadTime()
+                                : Opts.loadTime();
     Candidate.Cost = Candidate.Expected;
     Candidate.Cost += Duration(static_cast<int64_t>(
         State.Load.Utilisation * State.Load.Utilisation *
         static_cast<double>(Opts.utilisationCost().count())));
     Candidate.Cost +=
         Opts.runningCost() * static_cast<int64_t>(State.Load.Running);
-    if (!Candidate.HoldsAdapter && !Candidate.IsPreferred)
+    Candidate.Cost += pauseCost(State, Required, Tokens);
+    if (!Candidate.HoldsAdapter && !Candidate.IsPreferred && !HeldLately &&
+        !Coming && !Candidate.IsHome)
       Candidate.Cost += Opts.extraCopyCost();
     if (U->DataCentre != Opts.dataCentre())
       Candidate.Cost += Opts.distanceCost();
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -11,6 +11,7 @@
 #define GOLDCRESTLINK_FORWARD_ENGINE_RANKER_H
 
 #include <array>
+#include <deque>
 #include <map>
 #include <span>
 #include <string>
@@ -33,6 +34,12 @@
   uint64_t Version = 0;
   uint32_t PromptTokens = 0;
   uint32_t Rank = 0;
+  /// Prompt tokens that other requests share, and that engines which hold the
+  /// adapter mostly keep.
+  uint32_t SharedTokens = 0;
+  /// Longest pause of its route, taken for that of the streams beside it too;
+  /// zero if none is stated.
+  Duration MaxPause{};
   /// Engines whose sides do not answer are candidates also if they are not
   /// known to hold the adapter.
   bool AnyWithoutSide = false;
@@ -52,6 +59,9 @@
   /// The engine is one of those that should hold the adapter, given its present
   /// demand.
   bool IsPreferred = false;
+  /// No engine holds the adapter, or did lately, and it may be loaded here as
+  /// well as on the preferred engine.
+  bool IsHome = false;
 };
 
 /// Not thread-safe. Memory is bounded by the upstreams known and by
@@ -69,6 +79,8 @@
     Duration runningCost() const { return RunningCost; }
     Duration utilisationCost() const { return UtilisationCost; }
     Duration failureCost() const { return FailureCost; }
+    Duration lateStreamCost() const { return LateStreamCost; }
+    size_t homeEngines() const { return HomeEngines; }
     double adapterUtilisationLimit() const { return AdapterUtilisationLimit; }
     Duration unresponsiveBackoff() const { return UnresponsiveBackoff; }
     Options &setDataCentre(std::string Name) {
@@ -103,6 +115,11 @@
     // Cost of an engine whose recent calls all failed. Scales with the share of
     // failed calls.
     Duration FailureCost = std::chrono::seconds(2);
+    // Cost of a running stream that the prompt would make late.
+    Duration LateStreamCost = std::chrono::milliseconds(40);
+    // Engines among which an adapter that no engine holds may be loaded, so
+    // that the prompt goes where it hurts least.
+    size_t HomeEngines = 3;
     // Share of one engine's prefill time that an adapter may use before it gets
     // a further preferred engine.
     double AdapterUtilisationLimit = 0.3;
@@ -162,6 +179,12 @@
     std::array<Time, BacklogRanks> BacklogEnd{};
     UpstreamHealth Health;
     Time SideBackoffUntil{};
+    // Adapters that the engine held until lately, the last one first. It loads
+    // them from its own memory.
+    std::deque<uint32_t> Evicted;
+    // Adapters that this entry has requested there and that the engine does not
+    // report yet, with the time of the request.
+    std::vector<std::pair<uint32_t, Time>> Requested;
   };
   // Demand for one adapter at this entry. The short-term mean shows a rise
   // within a second; it is discounted for random fluctuation.
@@ -177,6 +200,11 @@
 
   /// Prompt tokens per second for an adapter at this entry.
   double tokenRate(Time Now, const std::string &Name) const;
+  /// The engine loads the adapter, or will, for a request of this entry.
+  static bool isComing(Time Now, const EngineState &State, uint32_t Hash);
+  /// Cost of what the prompt would do to the streams that the engine runs.
+  Duration pauseCost(const EngineState &State,
+                     const EngineRequirements &Required, uint32_t Tokens) const;
   /// Mean over the known engines, in prompt tokens per millisecond.
   double meanPrefillRate() const;
 
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -11,6 +11,7 @@
 #include "forward/forwarder.h"
 
 #include <algorithm>
+#include <numeric>
 #include <span>
 
 #include "base/hash.h"
@@ -233,9 +234,14 @@
 
 EngineRequirements Forwarder::requirementsOf(const ActiveCall &Call) const {
   const InferenceParams &Params = Call.Request.Inference;
-  return {Params.Model, Params.Adapter,
+  return {Params.Model,
+          Params.Adapter,
           CurrentCatalog->releasedVersion(Params.Model, Params.Adapter),
-          Params.PromptTokens, Call.Rank};
+          Params.PromptTokens,
+          Call.Rank,
+          std::accumulate(Params.SharedTokens.begin(),
+                          Params.SharedTokens.end(), 0u),
+          Call.MaxPause};
 }
 
 Duration Forwarder::maxWaitOf(Time Now, const ActiveCall &Call,
@@ -282,7 +288,7 @@
                                     const EngineRequirements &Required,
                                     std::span<const EngineCandidate> Ranked) {
   for (const EngineCandidate &C : Ranked) {
-    if (!C.IsPreferred || C.HoldsAdapter || !C.SideAnswers ||
+    if (!C.IsPreferred || C.IsHome || C.HoldsAdapter || !C.SideAnswers ||
         &C == Ranked.data())
       continue;
     const uint64_t Key =
@@ -337,6 +343,25 @@
   Port.requestAdmission(Call.Upstream, Admission);
 }
 
+bool Forwarder::moveToSooner(Time Now, ActiveCall &Call, Duration Expected) {
+  if (Expected <= Opts.moveGain() ||
+      Call.AdmissionRequests >= Opts.maxAdmissionRequests())
+    return false;
+  for (const EngineCandidate &C :
+       rankEngines(Now, Call, requirementsOf(Call))) {
+    if (!C.HoldsAdapter || !C.SideAnswers ||
+        C.Upstream->Id == Call.Upstream.Id ||
+        Call.TriedUpstreams.contains(C.Upstream->Id) ||
+        C.Expected + Opts.moveGain() > Expected)
+      continue;
+    endAdmission(Call);
+    Call.TriedUpstreams.insert(Call.Upstream.Id);
+    requestAdmission(Now, Call, C, true);
+    return true;
+  }
+  return false;
+}
+
 void Forwarder::endAdmission(ActiveCall &Call) {
   if (Call.AdmissionId == 0)
     return;
@@ -369,6 +394,8 @@
     return checkVersion(Now, Call, Reply) ? sendTo(Now, Call, Reply.Version)
                                           : void();
   case Verdict::Wait:
+    if (moveToSooner(Now, Call, Reply.Expected))
+      return;
     Call.CurrentStage = Stage::WaitingAtSide;
     Port.log(
         LogClass::Routine,
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -52,6 +52,7 @@
     size_t maxEventBytes() const { return MaxEventBytes; }
     Duration admissionTimeout() const { return AdmissionTimeout; }
     uint32_t maxAdmissionRequests() const { return MaxAdmissionRequests; }
+    Duration moveGain() const { return MoveGain; }
     double maxWaitShare() const { return MaxWaitShare; }
     Duration minLoadWait() const { return MinLoadWait; }
     double maxQueueShare() const { return MaxQueueShare; }
@@ -85,6 +86,10 @@
     // Admission requests for a call before it is refused; a retry starts the
     // count anew.
     uint32_t MaxAdmissionRequests = 3;
+    // A waiting call moves to another engine if its first token is expected
+    // sooner by this much there, since what entries know of the load of engines
+    // is up to 250 ms old.
+    Duration MoveGain = std::chrono::milliseconds(150);
     // Part of the route's latency objective that a call may wait at one side.
     double MaxWaitShare = 0.9;
     // Lower bound on the maximum wait for an adapter that no engine holds. A
@@ -321,6 +326,10 @@
                      bool HeldSomewhere) const;
   void requestAdmission(Time Now, ActiveCall &Call,
                         const EngineCandidate &Candidate, bool HeldSomewhere);
+  /// The call's side lets it wait for \p Expected. Requests admission at
+  /// another engine that holds the adapter, if the first token is expected
+  /// clearly sooner there. Returns whether it has.
+  bool moveToSooner(Time Now, ActiveCall &Call, Duration Expected);
   /// Ends the call's admission request, if one is open.
   void endAdmission(ActiveCall &Call);
 
--- /dev/null
+++ b/forward/testing/engine_ranker_test.cc
@@ -0,0 +1,167 @@
+// Unit tests of EngineRanker: where adapters are loaded, and what prompts do to
+// the streams of the engines that they go to.
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "forward/engine_ranker.h"
+
+using namespace goldcrestlink;
+using namespace goldcrestlink::forward;
+
+namespace {
+
+Time at(int64_t Ms) { return Time(std::chrono::milliseconds(100000 + Ms)); }
+
+constexpr Duration MaxPause = std::chrono::milliseconds(300);
+
+/// Ten engines in one data centre, all serving, with a ranker.
+struct Engines {
+  Engines() : Ranker(EngineRanker::Options().setDataCentre("here")) {
+    for (int I = 0; I < 10; ++I) {
+      UpstreamRecord U;
+      U.Id = "e" + std::to_string(I);
+      U.Service = "engines";
+      U.DataCentre = "here";
+      Records.push_back(U);
+    }
+    for (const UpstreamRecord &U : Records) {
+      All.push_back(&U);
+      Ranker.onLoad(at(0), U.Id, load());
+    }
+  }
+
+  static EngineLoad load(std::vector<uint32_t> Held = {},
+                         std::vector<uint32_t> Incoming = {}) {
+    EngineLoad L;
+    L.Serving = true;
+    L.Held = std::move(Held);
+    L.Incoming = std::move(Incoming);
+    return L;
+  }
+
+  std::vector<EngineCandidate> rank(int64_t Ms,
+                                    const EngineRequirements &Required) {
+    return Ranker.rank(at(Ms), Required, All);
+  }
+  std::string best(int64_t Ms, const EngineRequirements &Required) {
+    return rank(Ms, Required).front().Upstream->Id;
+  }
+
+  std::vector<UpstreamRecord> Records;
+  std::vector<const UpstreamRecord *> All;
+  EngineRanker Ranker;
+};
+
+EngineRequirements adapter(const std::string &Name, uint32_t Prompt = 600) {
+  EngineRequirements R{"m", Name, 0, Prompt};
+  R.MaxPause = MaxPause;
+  return R;
+}
+
+} // namespace
+
+TEST_CASE("a new adapter is loaded where its prompt hurts least") {
+  for (int I = 0; I < 50; ++I) {
+    const EngineRequirements Required = adapter("a" + std::to_string(I), 5200);
+    Engines E;
+    const std::string First = E.best(0, Required);
+    EngineLoad Busy = Engines::load();
+    Busy.StreamsOnTime = 20;
+    Busy.SlowdownRisk = 2.5;
+    E.Ranker.onLoad(at(0), First, Busy);
+    const EngineCandidate Other = E.rank(0, Required).front();
+    CAPTURE(I);
+    CHECK(Other.Upstream->Id != First);
+    CHECK(Other.IsHome);
+  }
+}
+
+TEST_CASE("low demand needs one copy, wherever it was loaded") {
+  for (int I = 0; I < 50; ++I) {
+    CAPTURE(I);
+    const EngineRequirements Required = adapter("a" + std::to_string(I));
+    const uint32_t Hash = adapterHash("m", Required.Adapter);
+    Engines E;
+    const std::vector<EngineCandidate> Ranked = E.rank(0, Required);
+    // Another engine than the first in the adapter's order.
+    const std::string Holder = Ranked.back().Upstream->Id;
+    struct Row {
+      const char *Name;
+      EngineLoad Load;
+      int64_t BacklogMs;
+    };
+    for (const Row &R :
+         {Row{"holds it", Engines::load({Hash}), 0},
+          Row{"holds it, and has prompts", Engines::load({Hash}), 300},
+          Row{"loads it", Engines::load({}, {Hash}), 0}}) {
+      CAPTURE(R.Name);
+      EngineLoad L = R.Load;
+      L.Backlog.fill(std::chrono::milliseconds(R.BacklogMs));
+      E.Ranker.onLoad(at(0), Holder, L);
+      CHECK(E.best(0, Required) == Holder);
+      size_t Preferred = 0;
+      for (const EngineCandidate &C : E.rank(0, Required))
+        Preferred += C.IsPreferred || C.IsHome ? 1 : 0;
+      CHECK(Preferred == 0);
+    }
+  }
+}
+
+TEST_CASE("an evicted adapter returns to the engine that held it") {
+  Engines E;
+  const EngineRequirements Required = adapter("a");
+  const std::string Holder = E.rank(0, Required).back().Upstream->Id;
+  E.Ranker.onLoad(at(0), Holder, Engines::load({adapterHash("m", "a")}));
+  E.Ranker.onLoad(at(10), Holder, Engines::load());
+  CHECK(E.best(20, Required) == Holder);
+  // It forgets everything when it starts anew.
+  EngineLoad Down;
+  E.Ranker.onLoad(at(30), Holder, Down);
+  E.Ranker.onLoad(at(40), Holder, Engines::load());
+  CHECK(E.best(50, Required) != Holder);
+}
+
+TEST_CASE("requests that follow go where this entry has a load requested") {
+  Engines E;
+  const EngineRequirements Required = adapter("a");
+  const std::string Chosen = E.best(0, Required);
+  E.Ranker.onSent(at(0), Chosen, Required, Duration(0));
+  // Its backlog is longer than that of all others now.
+  EngineLoad Busy = Engines::load();
+  Busy.Backlog.fill(std::chrono::milliseconds(200));
+  E.Ranker.onLoad(at(20), Chosen, Busy);
+  CHECK(E.best(30, Required) == Chosen);
+  // The load was not ordered after all.
+  CHECK(E.best(1000, Required) != "");
+  E.Ranker.onLoad(at(1000), Chosen, Busy);
+  CHECK(E.best(1000, Required) != Chosen);
+}
+
+TEST_CASE("a large prompt avoids engines with many streams, a small one and "
+          "one that is mostly kept do not") {
+  struct Row {
+    const char *Name;
+    uint32_t Prompt;
+    uint32_t Shared;
+    bool Avoids;
+  };
+  for (const Row &R : {Row{"small", 300, 0, false},
+                       Row{"large if the engine becomes slow", 3000, 0, true},
+                       Row{"large", 5600, 0, true},
+                       Row{"large, but mostly kept", 5600, 5300, false}}) {
+    CAPTURE(R.Name);
+    Engines E;
+    EngineRequirements Required = adapter("a", R.Prompt);
+    Required.SharedTokens = R.Shared;
+    const uint32_t Hash = adapterHash("m", "a");
+    EngineLoad Full = Engines::load({Hash});
+    Full.StreamsOnTime = 20;
+    Full.SlowdownRisk = 2.5;
+    EngineLoad Idle = Engines::load({Hash});
+    Idle.Backlog.fill(std::chrono::milliseconds(10));
+    E.Ranker.onLoad(at(0), "e1", Full);
+    E.Ranker.onLoad(at(0), "e2", Idle);
+    CHECK(E.best(0, Required) == (R.Avoids ? "e2" : "e1"));
+  }
+}
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -527,3 +527,40 @@
   CHECK(Port.Status == 503);
   CHECK(Port.RetryAfter > Duration(0));
 }
+
+TEST_CASE("a call that would wait moves to a holder that is clearly sooner") {
+  struct Row {
+    const char *Name;
+    /// Expected wait at the other holder, and whether it holds the adapter.
+    int64_t OtherMs;
+    bool OtherHolds;
+    bool Moves;
+  };
+  // The first side replies that the call waits for 400 ms.
+  for (const Row &R :
+       {Row{"idle holder", 0, true, true},
+        Row{"holder that is hardly sooner", 300, true, false},
+        Row{"idle engine without the adapter", 0, false, false}}) {
+    CAPTURE(R.Name);
+    Entry E;
+    const auto Load = [](bool Holds, int64_t BacklogMs) {
+      EngineLoad L;
+      L.Serving = true;
+      L.Backlog.fill(std::chrono::milliseconds(BacklogMs));
+      if (Holds)
+        L.Held = {adapterHash("m", "a1")};
+      return L;
+    };
+    // What the entry knows of the first engine's load is old.
+    E.Machine.onLoad(at(0), "e1", Load(true, 0));
+    E.Machine.onLoad(at(0), "e2", Load(R.OtherHolds, R.OtherMs + 10));
+    E.call("/stream/x");
+    REQUIRE(E.Port.Admissions.size() == 1);
+    REQUIRE(E.Port.Admissions.back().Upstream == "e1");
+    E.replyAdmission(3, Verdict::Wait);
+    CHECK(E.Port.Admissions.size() == (R.Moves ? 2 : 1));
+    CHECK(E.Port.Admissions.back().Upstream == (R.Moves ? "e2" : "e1"));
+    E.replyAdmission(5);
+    CHECK(E.Port.Sends.size() == 1);
+  }
+}
