--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -40,8 +40,8 @@
 // For connecting to an upstream. The network delay is a few milliseconds, and
 // an instance that is down does not answer at all.
 constexpr Duration ConnectTimeout = std::chrono::milliseconds(300);
-// Connections to upstreams that were idle for longer are not reused. A shorter
-// time that the upstream announced takes precedence.
+// Connections to upstreams that were idle for longer are not reused, unless the
+// upstream announced a time of its own.
 constexpr Duration MaxIdleConnectionAge = std::chrono::milliseconds(1500);
 // Number of entries that are assumed to share the load until a side reports how
 // many it has received messages from.
@@ -341,6 +341,10 @@
               Duration Total) override {
     Metrics.record(Rank, Outcome, FirstByte, Total);
   }
+  void recordPause(uint32_t Rank, Duration Longest,
+                   Duration MaxPause) override {
+    Metrics.recordPause(Rank, Longest, MaxPause);
+  }
 
   // Sides.
 
--- a/daemon/forward_metrics.cc
+++ b/daemon/forward_metrics.cc
@@ -55,6 +55,11 @@
   Histogram Total;
 };
 
+struct ForwardMetrics::Pauses {
+  Histogram Longest;
+  uint64_t Late = 0;
+};
+
 ForwardMetrics::ForwardMetrics() = default;
 ForwardMetrics::~ForwardMetrics() = default;
 
@@ -69,6 +74,15 @@
   Slot->Total.add(seconds(Total));
 }
 
+void ForwardMetrics::recordPause(uint32_t Rank, Duration Longest,
+                                 Duration MaxPause) {
+  auto &Slot = PausesByRank[Rank];
+  if (!Slot)
+    Slot = std::make_unique<Pauses>();
+  Slot->Longest.add(seconds(Longest));
+  Slot->Late += MaxPause > Duration(0) && Longest > MaxPause ? 1 : 0;
+}
+
 void ForwardMetrics::count(std::string_view Name, uint64_t By) {
   const auto It = Counters.find(Name);
   if (It == Counters.end())
@@ -87,6 +101,12 @@
     S->FirstByte.print(Out, "goldcrestlink_first_byte_seconds", Labels);
     S->Total.print(Out, "goldcrestlink_call_seconds", Labels);
   }
+  for (const auto &[Rank, P] : PausesByRank) {
+    const std::string Labels = "rank=\"" + std::to_string(Rank) + "\"";
+    P->Longest.print(Out, "goldcrestlink_stream_pause_seconds", Labels);
+    Out += "goldcrestlink_stream_pauses_late_total{" + Labels + "} " +
+           std::to_string(P->Late) + "\n";
+  }
   for (const auto &[Name, Value] : Counters)
     Out += "goldcrestlink_" + Name + " " + std::to_string(Value) + "\n";
   return Out;
--- a/daemon/forward_metrics.h
+++ b/daemon/forward_metrics.h
@@ -26,6 +26,8 @@
   /// first-byte histogram.
   void record(uint32_t Rank, std::string_view Outcome, Duration FirstByte,
               Duration Total);
+  /// Records the longest pause of a stream; \p MaxPause of zero is no limit.
+  void recordPause(uint32_t Rank, Duration Longest, Duration MaxPause);
   /// Adds \p By to the counter \p Name, which has no labels.
   void count(std::string_view Name, uint64_t By = 1);
   /// Prometheus text.
@@ -33,7 +35,9 @@
 
 private:
   struct Series;
+  struct Pauses;
   std::map<std::pair<uint32_t, std::string>, std::unique_ptr<Series>> Calls;
+  std::map<uint32_t, std::unique_ptr<Pauses>> PausesByRank;
   std::map<std::string, uint64_t, std::less<>> Counters;
 };
 
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -379,6 +379,9 @@
               Call.FirstByteAt == Time{} ? Duration(0)
                                          : Call.FirstByteAt - Call.Arrived,
               Now - Call.Arrived);
+  if (Call.EventPauses.longest().Length > Duration(0))
+    Port.recordPause(Call.Rank, Call.EventPauses.longest().Length,
+                     Call.MaxPause);
   IsolatedCalls -= Call.Isolated ? 1 : 0;
   Calls.erase(Call.Id);
 }
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -30,6 +30,7 @@
   R.MaxAttempts = Attempts;
   R.Timeout = std::chrono::milliseconds(5000);
   R.Objective = std::chrono::milliseconds(1000);
+  R.MaxPause = std::chrono::milliseconds(300);
   R.Targets = {{Service, 1}};
   return R;
 }
@@ -146,6 +147,9 @@
   }
   void log(LogClass, std::string) override {}
   void record(uint32_t, std::string_view, Duration, Duration) override {}
+  void recordPause(uint32_t, Duration Longest, Duration MaxPause) override {
+    RecordedPauses.push_back({Longest, MaxPause});
+  }
 
   std::vector<SentAdmission> Admissions;
   std::vector<Sent> Sends;
@@ -160,6 +164,7 @@
   std::vector<CrashReport> Reports;
   std::vector<TraitOutput> Outputs;
   std::vector<TraitVerdict> Verdicts;
+  std::vector<std::pair<Duration, Duration>> RecordedPauses;
   unsigned Status = 0;
   std::string Body;
   Duration RetryAfter{};
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -564,3 +564,19 @@
     CHECK(E.Port.Sends.size() == 1);
   }
 }
+
+TEST_CASE("the longest pause of a stream is recorded at its end") {
+  Entry E;
+  E.call("/stream/x");
+  E.replyAdmission(2);
+  const SendId S = E.Port.Sends.back().Id;
+  E.Machine.onHead(at(5), S, Entry::head(200));
+  E.Machine.onData(at(500), S, "id: 1\n\n");
+  E.Machine.onData(at(520), S, "id: 2\n\n");
+  E.Machine.onData(at(920), S, "id: 3\n\n");
+  CHECK(E.Port.RecordedPauses.empty());
+  E.Machine.onDone(at(930), S);
+  REQUIRE(E.Port.RecordedPauses.size() == 1);
+  CHECK(E.Port.RecordedPauses[0].first == std::chrono::milliseconds(400));
+  CHECK(E.Port.RecordedPauses[0].second == std::chrono::milliseconds(300));
+}
