Admit streams that go on before new ones, and let them wait longer (LOST)

Cause: after many connections break at once, callers take up their streams among more new requests than the engines can begin.

Now they are admitted first and may wait as long as for a load. Ruled out: origins not found (none of these).

--- a/forward/forward_port.h
+++ b/forward/forward_port.h
@@ -136,8 +136,8 @@
   /// the call's arrival; \p FirstByte is zero if there was none.
   virtual void record(uint32_t Rank, std::string_view Outcome,
                       Duration FirstByte, Duration Total) = 0;
-  /// Records the longest pause of an ended stream in the metrics. \p MaxPause is
-  /// the longest that is on time; zero if its route states none.
+  /// Records the longest pause of an ended stream in the metrics. \p MaxPause
+  /// is the longest that is on time; zero if its route states none.
   virtual void recordPause(uint32_t Rank, Duration Longest,
                            Duration MaxPause) = 0;
 };
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -248,11 +248,17 @@
                               bool HeldSomewhere) const {
   auto Wait = Duration(static_cast<int64_t>(
       static_cast<double>(Call.Objective.count()) * Opts.maxWaitShare()));
-  if (!HeldSomewhere)
+  // The objective of a stream that goes on is behind it; its caller waits some
+  // seconds, and a refusal would lose what it has.
+  if (!HeldSomewhere || continuesStream(Call))
     Wait = std::max(Wait, Opts.minLoadWait());
   return std::max(Duration(0), std::min(Wait, (Call.Deadline - Now) / 2));
 }
 
+bool Forwarder::continuesStream(const ActiveCall &Call) {
+  return Call.HeadForwarded || takesUp(Call);
+}
+
 void Forwarder::placeOnEngine(Time Now, ActiveCall &Call) {
   const EngineRequirements Required = requirementsOf(Call);
   const std::vector<EngineCandidate> Ranked = rankEngines(Now, Call, Required);
@@ -329,7 +335,8 @@
   Admission.Adapter = Call.Request.Inference.Adapter;
   Admission.Version = CurrentCatalog->releasedVersion(
       Call.Request.Inference.Model, Call.Request.Inference.Adapter);
-  Admission.Rank = Call.Rank;
+  // Before streams that have not begun: they have waited in vain already.
+  Admission.Rank = continuesStream(Call) ? 0 : Call.Rank;
   Admission.PromptTokens = Call.Request.Inference.PromptTokens;
   Admission.OutputTokens = Call.Request.Inference.MaxOutputTokens;
   Admission.MaxWait = Call.MaxWait;
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -324,6 +324,9 @@
                            std::span<const EngineCandidate> Ranked);
   Duration maxWaitOf(Time Now, const ActiveCall &Call,
                      bool HeldSomewhere) const;
+  /// Whether the caller has a part of the stream already, from this attempt or
+  /// an earlier one.
+  static bool continuesStream(const ActiveCall &Call);
   void requestAdmission(Time Now, ActiveCall &Call,
                         const EngineCandidate &Candidate, bool HeldSomewhere);
   /// The call's side lets it wait for \p Expected. Requests admission at
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -28,6 +28,7 @@
   R.Repeat = Repeat;
   R.Streaming = Streaming;
   R.MaxAttempts = Attempts;
+  R.Rank = Repeat == Repeatability::ResumableStream ? 2 : 0;
   R.Timeout = std::chrono::milliseconds(5000);
   R.Objective = std::chrono::milliseconds(1000);
   R.MaxPause = std::chrono::milliseconds(300);
--- a/forward/testing/stream_origin_test.cc
+++ b/forward/testing/stream_origin_test.cc
@@ -339,3 +339,38 @@
   CHECK(Moved > 50);
   CHECK(Moved < 300);
 }
+
+TEST_CASE(
+    "a stream that goes on is admitted before new ones and waits longer") {
+  // Callers give a stream up after a gap of two seconds or more.
+  const Duration TakeUpWait = std::chrono::seconds(2);
+  const auto HeldEverywhere = [](Entry &E) {
+    EngineLoad L;
+    L.Serving = true;
+    L.Held = {adapterHash("m", "a1")};
+    for (const char *Id : {"e1", "e2", "e3"})
+      E.Machine.onLoad(at(0), Id, L);
+  };
+  Entry New;
+  HeldEverywhere(New);
+  New.call("/resume/x");
+  CHECK(New.Port.Admissions.back().Request.Rank == 2);
+  CHECK(New.Port.Admissions.back().Request.MaxWait < TakeUpWait);
+
+  Entry Retried;
+  HeldEverywhere(Retried);
+  Retried.breakAfterEvent1();
+  CHECK(Retried.Port.Admissions.back().Request.Rank == 0);
+  CHECK(Retried.Port.Admissions.back().Request.MaxWait >= TakeUpWait);
+
+  Entry TakenUp;
+  HeldEverywhere(TakenUp);
+  setVersions(TakenUp, {"v1", "v1", "v1"});
+  takeUp(TakenUp);
+  REQUIRE_FALSE(TakenUp.Port.Queries.empty());
+  TakenUp.Machine.onOrigin(at(5), TakenUp.Port.Queries.back(),
+                           StreamOrigin{"engines", "v1"});
+  REQUIRE_FALSE(TakenUp.Port.Admissions.empty());
+  CHECK(TakenUp.Port.Admissions.back().Request.Rank == 0);
+  CHECK(TakenUp.Port.Admissions.back().Request.MaxWait >= TakeUpWait);
+}
