Learn how often engines are slow; holders that cannot be used do not count

Found by reading. The probability of a slow spell was a fixed figure that fits one deployment; sides measure it. An adapter counted as held while its only holder could not be used, so entries disagreed on where to load it. Requested loads were no longer noted once 64 were known of a side that sends no loads. The risk that a side reports changed all the time, so idle sides sent a load every 250 ms. Entries of reports that cannot be read are counted and logged, waits for running streams have their own reason, and a moved call leaves a line.

--- a/admission/engine_report.h
+++ b/admission/engine_report.h
@@ -64,6 +64,8 @@
   /// Whether the engine states its runs, and these.
   bool HasRuns = false;
   std::vector<EngineRun> Runs;
+  /// Entries among the runs that could not be read and were left out.
+  uint32_t UnreadableRuns = 0;
   /// Memory in tokens: the part that cannot be freed at present, and the total.
   uint64_t MemoryUsed = 0;
   uint64_t MemoryTotal = 0;
--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -6,6 +6,7 @@
 #include "admission/side_admission.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "base/hash.h"
 
@@ -30,6 +31,11 @@
 // The mean time of a run is taken over about this many.
 constexpr int64_t RunTimeSamples = 16;
 
+// The least multiple of \p Step that is not below \p Value.
+double roundUp(double Value, double Step) {
+  return std::ceil(Value / Step) * Step;
+}
+
 // On average, a request uses about half of its maximum number of output tokens.
 uint64_t expectedTokens(const AdmissionRequest &Request) {
   return Request.PromptTokens + Request.OutputTokens / 2;
@@ -233,11 +239,12 @@
   const Duration Wait = expectedWait(Now, Request);
   if (Wait > Request.MaxWait || Queue.size() >= Opts.maxWaiting())
     return refuse(Request, Wait, Ready || !baseModel(Request.Model),
-                  Ready ? fullReason(Now) : "load_too_late");
+                  Ready ? fullReason(Now, Request) : "load_too_late");
   AdmissionReply Reply;
   Reply.Decision = Verdict::Wait;
   Reply.Expected = Wait;
-  Reply.Reason = Ready ? fullReason(Now) : "loading";
+  Reply.Reason = Ready ? fullReason(Now, Request) : "loading";
+  PromptsHeld += Reply.Reason == "paced" ? 1 : 0;
   Port.reply(Request, Reply);
   const auto Position =
       std::find_if(Queue.begin(), Queue.end(), [&](const WaitingRequest &W) {
@@ -253,9 +260,12 @@
   placeOrder(Now);
 }
 
-std::string_view SideAdmission::fullReason(const Time &Now) const {
-  return RequestRate.wait(Now, Queue.size()) > Duration(0) ? "engine_limited"
-                                                           : "engine_full";
+std::string_view
+SideAdmission::fullReason(const Time &Now,
+                          const AdmissionRequest &Request) const {
+  if (RequestRate.wait(Now, Queue.size()) > Duration(0))
+    return "engine_limited";
+  return batchHasRoom(expectedTokens(Request)) ? "paced" : "engine_full";
 }
 
 void SideAdmission::onRequestLimit(const Time &Now, double PerSecond) {
@@ -420,8 +430,10 @@
   Out.Utilisation = Prefill.utilisation(Now);
   Out.StreamsOnTime =
       static_cast<uint32_t>(Pauses.streamsLateAfter(std::chrono::hours(1)));
-  Out.SlowdownRisk =
-      std::max(1.0, Pauses.worstSlowdown(Now) / Pauses.slowdown(Now));
+  // In steps, since a load that has not changed is not sent.
+  Out.SlowdownRisk = std::max(
+      1.0, roundUp(Pauses.worstSlowdown(Now) / Pauses.slowdown(Now), 0.25));
+  Out.SlowShare = roundUp(Pauses.slowShare(), 0.05);
   Out.Running = static_cast<uint32_t>(Grants.size());
   for (const auto &[Name, S] : Adapters) {
     if (isOutdated(Now, Name))
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -102,6 +102,8 @@
   uint32_t StreamsOnTime = 0;
   /// How much slower the engine may become, as it has been lately; at least 1.
   double SlowdownRisk = 1;
+  /// Share of the time in which the engine is slow, from 0 to 1.
+  double SlowShare = 0;
   /// Requests per second that the engine takes; 0: no limit.
   double RequestLimit = 0;
   /// Adapters that are ready for requests, by adapterHash().
@@ -218,6 +220,8 @@
   uint64_t grantedTokens() const { return TokensGranted; }
   uint64_t loadsOrdered() const { return LoadsOrdered; }
   uint64_t evictions() const { return Evictions; }
+  /// Requests that waited for the sake of running streams.
+  uint64_t promptsHeld() const { return PromptsHeld; }
 
 private:
   // Peer and id of an admission request.
@@ -284,7 +288,9 @@
   void grant(const Time &Now, const AdmissionRequest &Request);
   void refuse(const AdmissionRequest &Request, Duration RetryAfter,
               bool TryElsewhere, std::string_view Reason);
-  std::string_view fullReason(const Time &Now) const;
+  /// Why a request whose adapter is held cannot be granted.
+  std::string_view fullReason(const Time &Now,
+                              const AdmissionRequest &Request) const;
   Duration expectedWait(const Time &Now, const AdmissionRequest &Request) const;
   void serveQueue(const Time &Now);
   void expire(const Time &Now);
@@ -335,6 +341,7 @@
   uint64_t TokensGranted = 0;
   uint64_t LoadsOrdered = 0;
   uint64_t Evictions = 0;
+  uint64_t PromptsHeld = 0;
 };
 
 } // namespace goldcrestlink
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -113,6 +113,7 @@
   Message.set_streams_on_time(Load.StreamsOnTime);
   Message.set_slowdown_risk_percent(
       static_cast<uint32_t>(Load.SlowdownRisk * 100));
+  Message.set_slow_share_percent(static_cast<uint32_t>(Load.SlowShare * 100));
   Message.set_limit_per_1000_s(toWireRate(Load.RequestLimit));
   for (const uint32_t Hash : Load.Held)
     Message.add_held(Hash);
@@ -136,6 +137,7 @@
   Load.Running = Message.running();
   Load.StreamsOnTime = Message.streams_on_time();
   Load.SlowdownRisk = std::max(1.0, Message.slowdown_risk_percent() / 100.0);
+  Load.SlowShare = std::min(1.0, Message.slow_share_percent() / 100.0);
   Load.RequestLimit = static_cast<double>(Message.limit_per_1000_s()) / 1000;
   Load.Held.assign(Message.held().begin(), Message.held().end());
   Load.Incoming.assign(Message.incoming().begin(), Message.incoming().end());
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -410,6 +410,7 @@
     MissedReports = 0;
     try {
       const EngineReport Report = platform::decodeReport(R->Body);
+      noteUnreadableRuns(Report.UnreadableRuns);
       if (Report.StartedMs != StartedMs || InstanceId.empty()) {
         StartedMs = Report.StartedMs;
         InstanceId.clear();
@@ -427,6 +428,15 @@
     }
   }
 
+  // Logged when such runs appear, since the reports come a hundred times a
+  // second.
+  void noteUnreadableRuns(uint32_t Count) {
+    if (Count > 0 && !HasUnreadableRuns)
+      Control.log("engine runs=unreadable count=" + std::to_string(Count));
+    HasUnreadableRuns = Count > 0;
+    UnreadableRuns += Count;
+  }
+
   void requestIdentity() {
     if (IdentityPending || HealthPath.empty() || now() < EnginePausedUntil)
       return;
@@ -482,8 +492,12 @@
            std::to_string(Admission.load(now()).Held.size()) +
            "\ngoldcrestlink_waiting " + std::to_string(Admission.waiting()) +
            "\ngoldcrestlink_granted " + std::to_string(Admission.granted()) +
-           "\ngoldcrestlink_entries " + std::to_string(LastSeen.size()) +
-           "\ngoldcrestlink_verdicts " + std::to_string(Relay.verdicts()) +
+           "\ngoldcrestlink_prompts_held_total " +
+           std::to_string(Admission.promptsHeld()) +
+           "\ngoldcrestlink_unreadable_runs_total " +
+           std::to_string(UnreadableRuns) + "\ngoldcrestlink_entries " +
+           std::to_string(LastSeen.size()) + "\ngoldcrestlink_verdicts " +
+           std::to_string(Relay.verdicts()) +
            "\ngoldcrestlink_stream_origins " + std::to_string(Origins.size()) +
            "\n";
   }
@@ -511,6 +525,8 @@
   std::string InstanceId;
   uint64_t StartedMs = 0;
   uint64_t OrderCount = 0;
+  uint64_t UnreadableRuns = 0;
+  bool HasUnreadableRuns = false;
   unsigned MissedReports = 0;
   // The engine wants no requests of this process until then.
   Time EnginePausedUntil{};
--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -34,10 +34,6 @@
 constexpr Duration RequestedExpiry = std::chrono::milliseconds(300);
 // Time to load an adapter from the engine's own memory.
 constexpr Duration ReloadTime = std::chrono::milliseconds(30);
-// Part of the longest pause that sides plan for.
-constexpr double PlannedPauseShare = 0.8;
-// Probability that an engine becomes slow while it processes a prompt.
-constexpr double SlowSpellProbability = 0.15;
 
 template <class Hashes> bool contains(const Hashes &In, uint32_t Hash) {
   return std::find(In.begin(), In.end(), Hash) != In.end();
@@ -61,9 +57,7 @@
   if (!Load.Serving)
     State.Evicted.clear();
   State.Load = Load;
-  std::erase_if(State.Requested, [&](const auto &Item) {
-    return Now - Item.second > RequestedExpiry;
-  });
+  dropExpired(Now, State);
   State.Known = true;
   for (size_t Row = 0; Row < BacklogRanks; ++Row)
     State.BacklogEnd[Row] = Now + Load.Backlog[Row];
@@ -111,6 +105,7 @@
   const Duration PrefillTime(static_cast<int64_t>(
       Required.PromptTokens * 1000.0 / State.Load.PrefillRate));
   const uint32_t Hash = adapterHash(Required.Model, Required.Adapter);
+  dropExpired(Now, State);
   if (!Required.Adapter.empty() && !contains(State.Load.Held, Hash) &&
       State.Requested.size() < MaxEvictedKnown)
     State.Requested.push_back({Hash, Now});
@@ -168,6 +163,12 @@
   return 1 + static_cast<size_t>(PrefillLoad / Opts.adapterUtilisationLimit());
 }
 
+void EngineRanker::dropExpired(Time Now, EngineState &State) {
+  std::erase_if(State.Requested, [&](const auto &Item) {
+    return Now - Item.second > RequestedExpiry;
+  });
+}
+
 bool EngineRanker::isComing(Time Now, const EngineState &State, uint32_t Hash) {
   return contains(State.Load.Incoming, Hash) ||
          std::any_of(State.Requested.begin(), State.Requested.end(),
@@ -184,7 +185,7 @@
   const double PauseMs = Tokens / State.Load.PrefillRate;
   if (LimitMs <= 0 || PauseMs * State.Load.SlowdownRisk <= LimitMs)
     return Duration(0);
-  const double Probability = PauseMs > LimitMs ? 1 : SlowSpellProbability;
+  const double Probability = PauseMs > LimitMs ? 1 : State.Load.SlowShare;
   return Duration(
       static_cast<int64_t>(static_cast<double>(Opts.lateStreamCost().count()) *
                            Probability * State.Load.StreamsOnTime));
@@ -203,9 +204,13 @@
   std::vector<EngineCandidate> Out;
   static const EngineState Unknown;
   size_t Position = 0;
+  // Engines that cannot be used now do not count.
   const bool HeldNowhere =
-      std::none_of(States.begin(), States.end(), [&](const auto &Item) {
-        const EngineState &S = Item.second;
+      std::none_of(Order.begin(), Order.end(), [&](const auto &Item) {
+        const auto It = States.find(Item.second->Id);
+        if (It == States.end() || !isUsable(Now, It->second))
+          return false;
+        const EngineState &S = It->second;
         return contains(S.Load.Held, AdapterHash) ||
                isComing(Now, S, AdapterHash) ||
                contains(S.Evicted, AdapterHash);
@@ -213,7 +218,7 @@
   for (const auto &[Score, U] : Order) {
     const auto It = States.find(U->Id);
     const EngineState &State = It == States.end() ? Unknown : It->second;
-    if (!State.Health.usable(Now) || (State.Known && !State.Load.Serving))
+    if (!isUsable(Now, State))
       continue;
     EngineCandidate Candidate;
     Candidate.Upstream = U;
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -200,6 +200,11 @@
 
   /// Prompt tokens per second for an adapter at this entry.
   double tokenRate(Time Now, const std::string &Name) const;
+  static bool isUsable(Time Now, const EngineState &State) {
+    return State.Health.usable(Now) && (!State.Known || State.Load.Serving);
+  }
+  /// Forgets the requested loads that the engine should have reported by now.
+  static void dropExpired(Time Now, EngineState &State);
   /// The engine loads the adapter, or will, for a request of this entry.
   static bool isComing(Time Now, const EngineState &State, uint32_t Hash);
   /// Cost of what the prompt would do to the streams that the engine runs.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -361,6 +361,10 @@
         Call.TriedUpstreams.contains(C.Upstream->Id) ||
         C.Expected + Opts.moveGain() > Expected)
       continue;
+    Port.log(LogClass::Routine,
+             "move " + describe(Call) + " to=" + C.Upstream->Id +
+                 " expected_ms=" + std::to_string(Expected.count() / 1000) +
+                 " there_ms=" + std::to_string(C.Expected.count() / 1000));
     endAdmission(Call);
     Call.TriedUpstreams.insert(Call.Upstream.Id);
     requestAdmission(Now, Call, C, true);
--- a/forward/pause_meter.h
+++ b/forward/pause_meter.h
@@ -41,8 +41,6 @@
 
   /// The longest pause so far; of length zero before the second event.
   const Pause &longest() const { return Longest; }
-  /// When the last event arrived; Time{} before the first one.
-  Time lastAt() const { return LastAt; }
 
 private:
   Pause Longest;
