Ask a side again for a reply that was lost; know entries over connections

A side knew an entry by its connection, so ends over a new connection did not match their grants, which stayed until their requests' deadlines.

Now an entry names its process in admission messages; the side keeps requests under that name and replies on its last connection; a call whose expected wait is over by 200 ms asks again with the same id, and the side answers again what it has granted or lets wait. Asked again in vain, it moves as before.

Ruled out: origins that are not found.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -229,6 +229,8 @@
   if (!Reachable)
     return refuse(Request, std::chrono::milliseconds(300), true,
                   "engine_unreachable");
+  if (answerAgain(Now, Request))
+    return;
   const bool Ready = ready(Now, Request);
   if (Ready && hasCapacity(Now, Request) && Queue.empty() &&
       !holdsPrompt(promptDecision(Now, Request, Now)))
@@ -294,6 +296,7 @@
     Reply.Version = State.Version;
   }
   G.Request = Request.Request;
+  G.Version = Reply.Version;
   G.Tokens = expectedTokens(Request);
   G.PromptTokens = unreadTokens(Now, Request);
   G.GrantedAt = Now;
@@ -308,6 +311,37 @@
   Port.reply(Request, Reply);
 }
 
+bool SideAdmission::answerAgain(const Time &Now,
+                                const AdmissionRequest &Request) {
+  AdmissionReply Reply;
+  if (const auto It = Grants.find({Request.Peer, Request.Id});
+      It != Grants.end()) {
+    Grant &G = It->second;
+    if (!ready(Now, Request) ||
+        (!G.Adapter.empty() && heldAdapter(G.Adapter)->Version != G.Version)) {
+      onEnd(Now, Request.Peer, Request.Id, Duration(0));
+      return false;
+    }
+    Reply.Decision = Verdict::Go;
+    Reply.Version = G.Version;
+    Reply.Reason = "granted_before";
+    Pauses.onGrant(Now, {G.Request, G.PromptTokens, Request.MaxPause});
+    Port.reply(Request, Reply);
+    return true;
+  }
+  const auto Waiting =
+      std::find_if(Queue.begin(), Queue.end(), [&](const WaitingRequest &W) {
+        return W.Request.Id == Request.Id && W.Request.Peer == Request.Peer;
+      });
+  if (Waiting == Queue.end())
+    return false;
+  Reply.Decision = Verdict::Wait;
+  Reply.Expected = expectedWait(Now, Request);
+  Reply.Reason = "waiting";
+  Port.reply(Request, Reply);
+  return true;
+}
+
 void SideAdmission::refuse(const AdmissionRequest &Request, Duration RetryAfter,
                            bool TryElsewhere, std::string_view Reason) {
   AdmissionReply Reply;
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -186,6 +186,8 @@
   void onRelease(const Time &Now, const WeightRelease &Release);
   /// An entry asks for admission. Answered through SidePort::reply(), at once
   /// or later, unless it is a prefetch.
+  /// A request that has the same Peer and Id as one that is granted or waits is
+  /// that one, asked again: it is answered again and changes nothing.
   void onAdmissionRequest(const Time &Now, AdmissionRequest Request);
   /// A granted or waiting request has ended. \p FirstToken is the time from
   /// when the request was sent to its first token, or zero if it had none.
@@ -233,6 +235,8 @@
     // Expected memory need in tokens.
     uint64_t Tokens = 0;
     uint32_t PromptTokens = 0;
+    // The version that the request was told.
+    uint64_t Version = 0;
     // True if there was no prefill backlog at the grant, so that the delay of
     // the first token depends on the engine's prefill rate alone.
     bool FoundIdle = false;
@@ -286,6 +290,9 @@
   /// the ready requests that wait ahead of it.
   Duration pacingWait(const Time &Now, uint32_t Rank, uint64_t Tokens) const;
   void grant(const Time &Now, const AdmissionRequest &Request);
+  /// Answers a request that is granted or waits already. Returns false if it
+  /// is to be treated as a new one.
+  bool answerAgain(const Time &Now, const AdmissionRequest &Request);
   void refuse(const AdmissionRequest &Request, Duration RetryAfter,
               bool TryElsewhere, std::string_view Reason);
   /// Why a request whose adapter is held cannot be granted.
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -447,3 +447,31 @@
     CHECK(Ended > 50);
   }
 }
+
+TEST_CASE("a request that is asked again is answered again and counts once") {
+  Side S({{"a", 1}});
+  S.Admission.onAdmissionRequest(at(1), request(1, "a"));
+  REQUIRE(S.Port.Replies[1] == Verdict::Go);
+  // The reply was lost.
+  S.Port.Replies.clear();
+  S.Admission.onAdmissionRequest(at(300), request(1, "a"));
+  CHECK(S.Port.Replies[1] == Verdict::Go);
+  CHECK(S.Port.Versions[1] == 1);
+  CHECK(S.Admission.granted() == 1);
+  // One that waits keeps its place.
+  S.Admission.onAdmissionRequest(at(310), request(2, "b"));
+  S.Admission.onAdmissionRequest(at(320), request(3, "c"));
+  S.Port.Replies.clear();
+  S.Admission.onAdmissionRequest(at(330), request(2, "b"));
+  CHECK(S.Port.Replies[2] == Verdict::Wait);
+  CHECK(S.Admission.waiting() == 2);
+  S.Admission.onEnd(at(340), "entry", 1, Duration(0));
+  CHECK(S.Admission.granted() == 0);
+  // A grant on a version that is no longer the one held is not repeated.
+  S.Admission.onAdmissionRequest(at(350), request(4, "a"));
+  REQUIRE(S.Port.Replies[4] == Verdict::Go);
+  S.Admission.onRelease(at(360), {"m", "a", 2});
+  S.Port.Replies.clear();
+  S.Admission.onAdmissionRequest(at(6000), request(4, "a"));
+  CHECK(S.Port.Replies[4] != Verdict::Go);
+}
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -16,7 +16,8 @@
 }
 } // namespace
 
-wire::Envelope encodeAdmissionRequest(const AdmissionRequest &Request) {
+wire::Envelope encodeAdmissionRequest(const AdmissionRequest &Request,
+                                      uint64_t Entry) {
   wire::Envelope Out;
   wire::AdmissionAsk &Message = *Out.mutable_admission_ask();
   Message.set_id(Request.Id);
@@ -31,6 +32,7 @@
   Message.set_prefetch(Request.Prefetch);
   Message.set_objective_left_us(Request.ObjectiveLeft.count());
   Message.set_request(Request.Request);
+  Message.set_entry(Entry);
   for (const PromptPart &P : Request.Parts) {
     Message.add_part_keys(P.Key);
     Message.add_part_tokens(P.TokensToEnd);
@@ -90,9 +92,11 @@
   return Reply;
 }
 
-wire::Envelope encodeEnd(uint64_t RequestId, Duration FirstToken) {
+wire::Envelope encodeEnd(uint64_t RequestId, Duration FirstToken,
+                         uint64_t Entry) {
   wire::Envelope Out;
   Out.mutable_admission_end()->set_id(RequestId);
+  Out.mutable_admission_end()->set_entry(Entry);
   Out.mutable_admission_end()->set_first_token_us(
       static_cast<uint64_t>(FirstToken.count()));
   return Out;
--- a/daemon/admission_codec.h
+++ b/daemon/admission_codec.h
@@ -12,12 +12,15 @@
 
 // All functions are thread-safe.
 
-wire::Envelope encodeAdmissionRequest(const AdmissionRequest &Request);
+/// \p Entry identifies the sending process over all of its connections.
+wire::Envelope encodeAdmissionRequest(const AdmissionRequest &Request,
+                                      uint64_t Entry);
 AdmissionRequest decodeAdmissionRequest(const wire::AdmissionAsk &Message,
                                         std::string Peer);
 wire::Envelope encodeReply(uint64_t RequestId, const AdmissionReply &Reply);
 AdmissionReply decodeReply(const wire::AdmissionReply &Message);
-wire::Envelope encodeEnd(uint64_t RequestId, Duration FirstToken);
+wire::Envelope encodeEnd(uint64_t RequestId, Duration FirstToken,
+                         uint64_t Entry);
 /// \p UpstreamId names the engine's incarnation, \p EntryCount is the number of
 /// entries from which the side has recently received messages.
 wire::Envelope encodeLoad(const EngineLoad &Load, std::string_view UpstreamId,
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -141,13 +141,13 @@
   void requestAdmission(const UpstreamRecord &Upstream,
                         const AdmissionRequest &Request) override {
     Side &EngineSide = sideOf(Upstream);
-    wire::Envelope E = encodeAdmissionRequest(Request);
+    wire::Envelope E = encodeAdmissionRequest(Request, EntryToken);
     EngineSide.Connection->sendOrQueue(E);
   }
 
   void endAdmission(const UpstreamRecord &Upstream, uint64_t RequestId,
                     Duration FirstToken) override {
-    wire::Envelope E = encodeEnd(RequestId, FirstToken);
+    wire::Envelope E = encodeEnd(RequestId, FirstToken, EntryToken);
     sideOf(Upstream).Connection->sendOrQueue(E);
   }
 
@@ -588,6 +588,8 @@
   uint64_t LastCallId = 0;
   bool Stopping = false;
   StallWatch Stalls;
+  // By which sides know this process again after a connection was reset.
+  const uint64_t EntryToken = freshSeed();
   forward::Forwarder Forwarder;
   Random Rand;
 };
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -109,11 +109,14 @@
       welcome(Now, Peer);
     if (Message.has_admission_ask())
       onAdmissionRequest(Now,
-                         decodeAdmissionRequest(Message.admission_ask(), Peer));
+                         decodeAdmissionRequest(
+                             Message.admission_ask(),
+                             entryOf(Peer, Message.admission_ask().entry())));
     else if (Message.has_upstream_leaving())
       onLeaving(Now, Peer, decodeLeaving(Message.upstream_leaving()));
     else if (Message.has_admission_end())
-      Admission.onEnd(Now, Peer, Message.admission_end().id(),
+      Admission.onEnd(Now, entryOf(Peer, Message.admission_end().entry()),
+                      Message.admission_end().id(),
                       Duration(static_cast<int64_t>(
                           Message.admission_end().first_token_us())));
     else if (Message.has_upstream_limit())
@@ -125,6 +128,22 @@
     rearmTickIfBusy();
   }
 
+  // The name under which requests of an entry are kept. An entry that states
+  // its token keeps it when it connects anew, and gets replies on its last
+  // connection.
+  std::string entryOf(const std::string &Peer, uint64_t Token) {
+    if (Token == 0)
+      return Peer;
+    std::string Name = "entry-" + std::to_string(Token);
+    LastPeer[Name] = Peer;
+    return Name;
+  }
+
+  const std::string &peerOf(const std::string &Entry) const {
+    const auto It = LastPeer.find(Entry);
+    return It == LastPeer.end() ? Entry : It->second;
+  }
+
   bool engineLeaves() const {
     return !InstanceId.empty() && Leaving.contains({InstanceId, StartedMs});
   }
@@ -311,7 +330,7 @@
     AdmissionReply WithStart = Reply;
     WithStart.EngineStartedMs = StartedMs;
     wire::Envelope E = encodeReply(Request.Id, WithStart);
-    if (!EntrySocket.send(Request.Peer, E))
+    if (!EntrySocket.send(peerOf(Request.Peer), E))
       Control.log(LogClass::Routine,
                   "reply outcome=entry_gone ask=" + std::to_string(Request.Id));
   }
@@ -340,6 +359,9 @@
     std::erase_if(LastSeen, [&](const auto &Item) {
       return Now - Item.second > EntryExpiry;
     });
+    std::erase_if(LastPeer, [&](const auto &Item) {
+      return !LastSeen.contains(Item.second);
+    });
     std::vector<std::string> Peers;
     for (const auto &[Peer, At] : LastSeen)
       Peers.push_back(Peer);
@@ -514,6 +536,8 @@
   SideAdmission Admission;
   wire::RouterSocket EntrySocket;
   std::map<std::string, Time> LastSeen;
+  // The last connection of each entry that has asked for admission.
+  std::map<std::string, std::string> LastPeer;
   Catalog KnownCatalog;
   CatalogExchange Exchange;
   CrashRelay Relay;
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -325,6 +325,13 @@
   Call.AdmissionId = NextAdmissionId++;
   CallByAdmission[Call.AdmissionId] = Call.Id;
   ++Call.AdmissionRequests;
+  Call.WaitUntil = Time{};
+  Engines.onSent(Now, Call.Upstream.Id, requirementsOf(Call),
+                 Limits.interval(Call.Upstream.Id));
+  sendAdmissionRequest(Now, Call);
+}
+
+void Forwarder::sendAdmissionRequest(Time Now, ActiveCall &Call) {
   Call.AdmissionRequestedAt = Now;
   Call.CurrentStage = Stage::AdmissionRequested;
   Call.StageUntil = Now + Opts.admissionTimeout();
@@ -345,8 +352,6 @@
   Admission.Request = hash64(Call.Request.RequestId);
   Admission.MaxPause = Call.MaxPause;
   Admission.Parts = promptParts(Call.Request.Inference);
-  Engines.onSent(Now, Call.Upstream.Id, requirementsOf(Call),
-                 Limits.interval(Call.Upstream.Id));
   Port.requestAdmission(Call.Upstream, Admission);
 }
 
@@ -412,9 +417,12 @@
         LogClass::Routine,
         "wait " + describe(Call) + " ask=" + std::to_string(AdmissionId) +
             " expected_ms=" + std::to_string(Reply.Expected.count() / 1000));
-    // The side normally refuses the call before this time; the time-out covers
+    // The side normally refuses the call before WaitUntil; the time-out covers
     // a side that has failed since.
-    Call.StageUntil = Now + Call.MaxWait * 2 + Opts.admissionTimeout();
+    if (Call.WaitUntil == Time{})
+      Call.WaitUntil = Now + Call.MaxWait * 2 + Opts.admissionTimeout();
+    Call.StageUntil =
+        std::min(Call.WaitUntil, Now + Reply.Expected + Opts.askAgainDelay());
     schedule(Call.StageUntil, Call.Id);
     return;
   case Verdict::Refuse:
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -53,6 +53,7 @@
     Duration admissionTimeout() const { return AdmissionTimeout; }
     uint32_t maxAdmissionRequests() const { return MaxAdmissionRequests; }
     Duration moveGain() const { return MoveGain; }
+    Duration askAgainDelay() const { return AskAgainDelay; }
     double maxWaitShare() const { return MaxWaitShare; }
     Duration minLoadWait() const { return MinLoadWait; }
     double maxQueueShare() const { return MaxQueueShare; }
@@ -90,6 +91,9 @@
     // sooner by this much there, since what entries know of the load of engines
     // is up to 250 ms old.
     Duration MoveGain = std::chrono::milliseconds(150);
+    // A call whose expected wait is over by this much asks its side again,
+    // since the reply may have been lost with a connection.
+    Duration AskAgainDelay = std::chrono::milliseconds(200);
     // Part of the route's latency objective that a call may wait at one side.
     double MaxWaitShare = 0.9;
     // Lower bound on the maximum wait for an adapter that no engine holds. A
@@ -213,6 +217,8 @@
     // A side replied that an engine without the adapter would not be faster.
     bool OnlyHolders = false;
     Duration MaxWait{};
+    // Until when the call waits at this side.
+    Time WaitUntil{};
     uint32_t Sends = 0;
     // An upstream may have run the request.
     bool MayHaveRun = false;
@@ -329,6 +335,9 @@
   static bool continuesStream(const ActiveCall &Call);
   void requestAdmission(Time Now, ActiveCall &Call,
                         const EngineCandidate &Candidate, bool HeldSomewhere);
+  /// Sends the call's open admission request to its side, for the first time or
+  /// again.
+  void sendAdmissionRequest(Time Now, ActiveCall &Call);
   /// The call's side lets it wait for \p Expected. Requests admission at
   /// another engine that holds the adapter, if the first token is expected
   /// clearly sooner there. Returns whether it has.
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -445,6 +445,8 @@
     Call.TriedUpstreams.insert(Call.Upstream.Id);
     return placeOnEngine(Now, Call);
   case Stage::WaitingAtSide:
+    if (Now < Call.WaitUntil)
+      return sendAdmissionRequest(Now, Call);
     endAdmission(Call);
     Call.TriedUpstreams.insert(Call.Upstream.Id);
     return placeOnEngine(Now, Call);
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -580,3 +580,48 @@
   CHECK(E.Port.RecordedPauses[0].first == std::chrono::milliseconds(400));
   CHECK(E.Port.RecordedPauses[0].second == std::chrono::milliseconds(300));
 }
+
+TEST_CASE("a call asks its side again when the expected wait is over") {
+  Entry E;
+  E.call("/stream/x");
+  REQUIRE(E.Port.Admissions.size() == 1);
+  const Recorder::SentAdmission First = E.Port.Admissions.back();
+  E.replyAdmission(3, Verdict::Wait);
+  E.Machine.onTimer(at(500));
+  CHECK(E.Port.Admissions.size() == 1);
+  // Expected 400 ms; the reply that lets it go is lost.
+  E.Machine.onTimer(at(650));
+  REQUIRE(E.Port.Admissions.size() == 2);
+  CHECK(E.Port.Admissions.back().Upstream == First.Upstream);
+  CHECK(E.Port.Admissions.back().Request.Id == First.Request.Id);
+  CHECK_FALSE(E.Port.EndedAdmissions.contains(First.Request.Id));
+  E.replyAdmission(655);
+  CHECK(E.Port.Sends.size() == 1);
+  // The lost reply arrives after all.
+  E.replyAdmission(700);
+  CHECK(E.Port.Sends.size() == 1);
+}
+
+TEST_CASE("a call that keeps waiting is placed elsewhere in the end") {
+  Entry E;
+  EngineLoad Held;
+  Held.Serving = true;
+  Held.Held = {adapterHash("m", "a1")};
+  for (const char *Id : {"e1", "e2", "e3"})
+    E.Machine.onLoad(at(0), Id, Held);
+  E.call("/stream/x");
+  const Recorder::SentAdmission First = E.Port.Admissions.back();
+  // Its side replies each time that it waits for 100 ms more.
+  for (int64_t Ms = 3;
+       Ms < 4000 && E.Port.Admissions.back().Request.Id == First.Request.Id;
+       Ms += 350) {
+    AdmissionReply R;
+    R.Decision = Verdict::Wait;
+    R.Expected = std::chrono::milliseconds(100);
+    E.Machine.onAdmission(at(Ms), First.Upstream, First.Request.Id, R);
+    E.Machine.onTimer(at(Ms + 349));
+  }
+  // Twice the maximum wait of 900 ms.
+  CHECK(E.Port.EndedAdmissions.contains(First.Request.Id));
+  CHECK(E.Port.Admissions.back().Upstream != First.Upstream);
+}
