Tests: waits that end, ports that nobody else uses, and processes that do not start are reported

Cause of the length: eventually() counted its pauses only, so a condition that takes three seconds (30 streams) could go on for 3,000 tries, two and a half hours. It ends now after its time and 20 tries.

It now tries all addresses, below the ports of outgoing connections and from a place of its own. A process that has ended by itself is reported with its log.

--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -170,10 +170,19 @@
                                           const std::string &Target,
                                           const std::string &Adapter) {
   return eventually(
-      [&] { return call(Entry, Target, Adapter).Head.Status == 200; },
+      [&] {
+        checkRunning();
+        return call(Entry, Target, Adapter).Head.Status == 200;
+      },
       MaxWaitSeconds);
 }
 
+void PlatformDeployment::checkRunning() {
+  for (const auto &[Name, P] : Processes)
+    if (!P->running())
+      throw std::runtime_error(Name + " has ended; its log:\n" + log(Name));
+}
+
 int PlatformDeployment::stop(const std::string &Name) {
   Processes.at(Name)->signal(SIGTERM);
   const int Exit = Processes.at(Name)->wait();
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -76,7 +76,8 @@
   /// exported.
   std::string metric(const std::string &Host, const std::string &Name) const;
   /// Repeats a request until it is served: entries discover sides and engines
-  /// while these start.
+  /// while these start. Throws std::runtime_error if a process has ended by
+  /// itself.
   bool eventuallyServed(size_t Entry, const std::string &Target,
                         const std::string &Adapter = "");
   /// Stops a process with SIGTERM; returns its exit code.
@@ -94,6 +95,7 @@
   std::string fleetSection(const std::string &Host) const;
   void startEngineAndSide(int I);
   void start(const std::string &Name, const std::string &Settings);
+  void checkRunning();
 
   std::filesystem::path Folder;
   int LinkPort;
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -1,11 +1,10 @@
-// A free port is found by binding port 0 and closing the socket. A set of the
-// returned ports ensures that no two calls in one process return the same port.
+// Free ports are tried one after another, from a number that depends on the
+// process, below those that the kernel gives to outgoing connections.
 #include "testing/process.h"
 
 #include <chrono>
 #include <filesystem>
 #include <fstream>
-#include <set>
 #include <stdexcept>
 #include <thread>
 
@@ -115,25 +114,43 @@
                : static_cast<size_t>(std::distance(begin(Files), end(Files)));
 }
 
+namespace {
+
+// Ports that the kernel gives to outgoing connections begin here by default.
+constexpr int FirstEphemeralPort = 32768;
+constexpr int FirstPort = 10240;
+
+// Whether nothing listens on the port at any address of this machine.
+bool isFree(int Port) {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  // Another process may be about to use the port that is only tried here.
+  const int On = 1;
+  ::setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &On, sizeof(On));
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_ANY);
+  Address.sin_port = htons(static_cast<uint16_t>(Port));
+  const bool Bound = ::bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                            sizeof(Address)) == 0;
+  ::close(Socket);
+  return Bound;
+}
+
+} // namespace
+
 int freePort() {
-  static std::set<int> Returned;
-  for (;;) {
-    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t Size = sizeof(Address);
-    const bool Bound =
-        ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) == 0 &&
-        ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size) ==
-            0;
-    ::close(Socket);
-    if (!Bound)
-      throw std::runtime_error("no free port");
-    const int Port = ntohs(Address.sin_port);
-    if (Returned.insert(Port).second)
+  constexpr int Count = FirstEphemeralPort - FirstPort;
+  // Spreads the test programs that run at the same time.
+  constexpr int PidStride = 257;
+  static int Next =
+      static_cast<int>(static_cast<int64_t>(::getpid()) * PidStride % Count);
+  for (int Tries = 0; Tries < Count; ++Tries) {
+    const int Port = FirstPort + Next;
+    Next = (Next + 1) % Count;
+    if (isFree(Port))
       return Port;
   }
+  throw std::runtime_error("no free port");
 }
 
 void pauseFor(int Milliseconds) {
--- a/testing/process.h
+++ b/testing/process.h
@@ -13,6 +13,8 @@
 #include <csignal>
 #include <sys/types.h>
 
+#include "base/time.h"
+
 namespace goldcrestlink::testing {
 
 /// Not thread-safe. The destructor kills a process that still runs.
@@ -43,20 +45,22 @@
   int ExitCode = -1;
 };
 
-/// A TCP port of the loopback interface that was free at the time of the call.
-/// Returns each port only once per process. Not thread-safe.
+/// A TCP port that was free on all addresses at the time of the call. Returns
+/// different ports until it has tried all. Not thread-safe.
 int freePort();
 
 /// Calls \p Holds, with pauses of 20 ms, until it returns true; false if it
-/// does not before the pauses add up to \p Seconds. The time that the calls
-/// themselves take does not count.
+/// does not within \p Seconds and MinTries calls.
 template <class Condition> bool eventually(Condition Holds, double Seconds);
 
 void pauseFor(int Milliseconds);
 
+/// A condition that takes long to check is tried this often at least.
+inline constexpr int MinTries = 20;
+
 template <class Condition> bool eventually(Condition Holds, double Seconds) {
-  const int Steps = static_cast<int>(Seconds * 50);
-  for (int I = 0; I < Steps; ++I) {
+  const Time Until = currentTime().Steady + fromSeconds(Seconds);
+  for (int I = 0; I < MinTries || currentTime().Steady < Until; ++I) {
     if (Holds())
       return true;
     pauseFor(20);
