Say where a stream's longest pause came about, on both interfaces

The end line named the engine for every pause. Now a side reports the pauses that it sees in its engine's runs (over half of what the route allows, each longer than the last), the entry knows the times in which it did nothing itself, and the line says engine, network, process, resume, or upstream where nobody knows. Declared ranks have max_pause_ms (checked, printed by 'check', sent to the side); on that interface the side measures at its engine's connection, and states it with the end.

--- a/admission/pause_model.cc
+++ b/admission/pause_model.cc
@@ -51,10 +51,12 @@
   Streams[Granted.Request] = S;
 }
 
-void PauseModel::onReport(Time Now, const EngineReport &Report, double Rate) {
+std::vector<StreamPause>
+PauseModel::onReport(Time Now, const EngineReport &Report, double Rate) {
+  std::vector<StreamPause> Ended;
   Reported = Report.HasRuns;
   if (!Reported)
-    return;
+    return Ended;
   // What happened in a longer time is not known: this process stood still, or
   // the engine did not answer.
   const bool IsContinuous = Now - ReportedAt <= StepMeter::MaxReportGap;
@@ -77,9 +79,12 @@
     if (Starts) {
       S.StartedAt = Now;
       TokensDone += S.Granted.PromptTokens;
-    } else if (S.Granted.MaxPause > Duration(0) &&
-               Now - S.AdvancedAt > S.Granted.MaxPause) {
-      S.IsLate = true;
+    } else if (S.Granted.MaxPause > Duration(0)) {
+      const Duration Pause = Now - S.AdvancedAt;
+      S.IsLate |= Pause > S.Granted.MaxPause;
+      if (Pause > S.LongestPause && 2 * Pause > S.Granted.MaxPause)
+        Ended.push_back({Run.Request, Pause});
+      S.LongestPause = std::max(S.LongestPause, Pause);
     }
     S.Events = Run.Events;
     S.AdvancedAt = Now;
@@ -91,6 +96,7 @@
     ProgressAt = Now;
   else
     measurePrefill(Now, TokensDone, Advanced, Rate);
+  return Ended;
 }
 
 // A prompt that took, or has taken so far, much longer than at the usual rate
--- a/admission/pause_model.h
+++ b/admission/pause_model.h
@@ -18,6 +18,7 @@
 
 #include <algorithm>
 #include <unordered_map>
+#include <vector>
 
 #include "admission/engine_report.h"
 #include "admission/step_meter.h"
@@ -38,6 +39,13 @@
   Duration MaxPause{};
 };
 
+/// A pause between two events of a running stream.
+struct StreamPause {
+  /// As in GrantedStream.
+  uint64_t Request = 0;
+  Duration Length{};
+};
+
 /// Not thread-safe. Memory is bounded by the granted requests.
 class PauseModel {
 public:
@@ -50,8 +58,10 @@
   void onGrant(Time Now, const GrantedStream &Stream);
   void onEnd(uint64_t Request) { Streams.erase(Request); }
   /// The engine's state. \p Rate: its usual prefill rate in tokens per
-  /// millisecond.
-  void onReport(Time Now, const EngineReport &Report, double Rate);
+  /// millisecond. Returns the pauses that have ended, of more than half of what
+  /// their routes allow and longer than those of the same stream before.
+  std::vector<StreamPause> onReport(Time Now, const EngineReport &Report,
+                                    double Rate);
   /// The engine has started anew.
   void clear();
 
@@ -90,6 +100,7 @@
     Time StartedAt{};
     uint64_t Events = 0;
     Time AdvancedAt{};
+    Duration LongestPause{};
     bool IsLate = false;
     // The engine has no prompts although this one should have arrived.
     bool IsLost = false;
--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -306,7 +306,7 @@
   Prefill.add(Now, Request.Rank, G.PromptTokens);
   Pauses.onGrant(Now, {Request.Request, G.PromptTokens, Request.MaxPause});
   Kept.onGrant(Now, Request.Parts);
-
+  Reply.ObservesPauses = Pauses.isKnown() && Request.MaxPause > Duration(0);
   Grants[{Request.Peer, Request.Id}] = std::move(G);
   Port.reply(Request, Reply);
 }
@@ -324,6 +324,7 @@
     }
     Reply.Decision = Verdict::Go;
     Reply.Version = G.Version;
+    Reply.ObservesPauses = Pauses.isKnown() && Request.MaxPause > Duration(0);
     Reply.Reason = "granted_before";
     Pauses.onGrant(Now, {G.Request, G.PromptTokens, Request.MaxPause});
     Port.reply(Request, Reply);
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -82,6 +82,8 @@
   /// Go: Unix time of the start of the engine's incarnation in milliseconds, as
   /// the process beside it has learnt from the engine; 0 if not known.
   uint64_t EngineStartedMs = 0;
+  /// Go: long pauses of the request's stream will be reported.
+  bool ObservesPauses = false;
   /// Reason in one word, for the log.
   std::string_view Reason;
 };
@@ -128,6 +130,10 @@
   virtual void reply(const AdmissionRequest &To,
                      const AdmissionReply &Reply) = 0;
   virtual void order(const EngineOrder &Order) = 0;
+  /// The engine made no event for \p Length of the stream of a granted request,
+  /// which \p Peer and \p Id identify.
+  virtual void reportPause(const std::string &Peer, uint64_t Id,
+                           Duration Length) = 0;
   virtual void log(LogClass Class, std::string Line) = 0;
 };
 
--- a/admission/side_orders.cc
+++ b/admission/side_orders.cc
@@ -59,7 +59,10 @@
   Reachable = true;
   Report = NewReport;
   ReportedAt = Now;
-  Pauses.onReport(Now, NewReport, Prefill.rate());
+  for (const StreamPause &P : Pauses.onReport(Now, NewReport, Prefill.rate()))
+    for (const auto &[Key, G] : Grants)
+      if (G.Request == P.Request)
+        Port.reportPause(Key.first, Key.second, P.Length);
   std::map<std::string, AdapterState> Reported;
   const auto AddAdapter = [&](const std::string &Model, const HeldAdapter &A,
                               bool Incoming) {
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -57,14 +57,21 @@
     Replies[To.Id] = R.Decision;
     Versions[To.Id] = R.Version;
     Reasons[To.Id] = std::string(R.Reason);
+    Observed = R.ObservesPauses;
   }
   void order(const EngineOrder &O) override { Orders.push_back(O); }
+  void reportPause(const std::string &, uint64_t Id, Duration Length) override {
+    Pauses.emplace_back(Id, Length);
+  }
   void log(LogClass, std::string) override {}
 
   std::map<uint64_t, Verdict> Replies;
   std::map<uint64_t, uint64_t> Versions;
   std::map<uint64_t, std::string> Reasons;
   std::vector<EngineOrder> Orders;
+  std::vector<std::pair<uint64_t, Duration>> Pauses;
+  // Of the last reply.
+  bool Observed = false;
 };
 
 struct Side {
@@ -97,6 +104,64 @@
   CHECK(S.Port.Replies[2] == Verdict::Go);
 }
 
+TEST_CASE("long pauses of granted streams are reported to their entry") {
+  struct Row {
+    const char *Name;
+    bool HasRuns;
+    int64_t MaxPauseMs;
+    // Times of reports in ms, and the events that the stream has by then.
+    std::vector<std::pair<int64_t, uint64_t>> Reports;
+    std::vector<int64_t> PausesMs;
+  };
+  const Row Rows[] = {
+      {"no pause", true, 300, {{10, 1}, {60, 2}, {110, 3}}, {}},
+      {"one longer than half of the limit",
+       true,
+       300,
+       {{10, 1}, {60, 2}, {110, 2}, {210, 2}, {260, 3}, {310, 4}},
+       {200}},
+      {"a longer one later, and a shorter one",
+       true,
+       300,
+       {{10, 1}, {100, 1}, {170, 2}, {270, 2}, {370, 3}, {470, 3}, {540, 4}},
+       {160, 200}},
+      {"a route without a limit", true, 0, {{10, 1}, {100, 1}, {210, 2}}, {}},
+      {"an engine that does not report its runs",
+       false,
+       300,
+       {{10, 1}, {100, 1}, {210, 2}},
+       {}},
+      {"reports that were away", true, 300, {{10, 1}, {510, 2}}, {}},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Side S({{"a", 1}});
+    const auto ReportAt = [&](int64_t Ms, uint64_t Events) {
+      EngineReport Report = report({{"a", 1}});
+      Report.HasRuns = R.HasRuns;
+      Report.Running = 1;
+      if (Events > 0)
+        Report.Runs = {{77, 100 + 2 * Events, Events}};
+      S.Admission.onReport(at(Ms), Report);
+    };
+    ReportAt(0, 0);
+    AdmissionRequest Request = request(1, "a");
+    Request.Request = 77;
+    Request.MaxPause = std::chrono::milliseconds(R.MaxPauseMs);
+    S.Admission.onAdmissionRequest(at(1), Request);
+    REQUIRE(S.Port.Replies[1] == Verdict::Go);
+    CHECK(S.Port.Observed == (R.HasRuns && R.MaxPauseMs > 0));
+    for (const auto &[Ms, Events] : R.Reports)
+      ReportAt(Ms, Events);
+    std::vector<int64_t> Reported;
+    for (const auto &[Id, Length] : S.Port.Pauses) {
+      CHECK(Id == 1);
+      Reported.push_back(Length.count() / 1000);
+    }
+    CHECK(Reported == R.PausesMs);
+  }
+}
+
 TEST_CASE("grants keep to the limit that the engine names") {
   Side S({{"a", 1}});
   S.Admission.onRequestLimit(at(0), 5);
--- a/admission/testing/stream_pause_test.cc
+++ b/admission/testing/stream_pause_test.cc
@@ -154,6 +154,7 @@
     Sends.push_back({Now + SendDelay, Calls.at(To.Id).Request});
   }
   void order(const EngineOrder &) override {}
+  void reportPause(const std::string &, uint64_t, Duration) override {}
   void log(LogClass, std::string) override {}
 
   void onEvent(Time Now, uint64_t Id) override {
--- a/cli/apply.cc
+++ b/cli/apply.cc
@@ -112,6 +112,18 @@
   return Out;
 }
 
+std::vector<std::string> describeRanks(const Declarations &D) {
+  const auto Ms = [](Duration Value) {
+    return std::to_string(Value.count() / 1000);
+  };
+  std::vector<std::string> Out;
+  for (const RankDecl &R : D.ranks())
+    Out.push_back("rank " + R.Name + " target_ms=" + Ms(R.Target) +
+                  " deadline_ms=" + Ms(R.Deadline) +
+                  " max_pause_ms=" + Ms(R.MaxPause));
+  return Out;
+}
+
 RemoteConfig readRemoteConfig(BlockingObjectClient &Platform) {
   RemoteConfig Out;
   ObjectValue Value;
--- a/cli/apply.h
+++ b/cli/apply.h
@@ -21,6 +21,10 @@
 /// there are none or the folder cannot be read.
 std::vector<DeclarationFile> readDeclarationFiles(const std::string &Folder);
 
+/// The ranks in the order of their urgency, one per line, with their time
+/// limits in milliseconds; a longest pause of 0 is not declared. Thread-safe.
+std::vector<std::string> describeRanks(const Declarations &D);
+
 /// The configuration in force, as the platform's object API holds it.
 struct RemoteConfig {
   /// Object version of the head; 0 if there is no configuration yet.
--- a/cli/main.cc
+++ b/cli/main.cc
@@ -61,15 +61,18 @@
       Declarations::parse(readDeclarationFiles(Args.Folder), 0, Findings);
   if (!Findings.empty())
     throw FindingError(Findings);
-  if (Args.Json)
+  const std::vector<std::string> Ranks = describeRanks(*D);
+  if (Args.Json) {
     std::printf("%s\n", nlohmann::json{{"adapters", D->adapters().size()},
-                                       {"upstreams", D->upstreams().size()}}
+                                       {"upstreams", D->upstreams().size()},
+                                       {"ranks", Ranks}}
                             .dump()
                             .c_str());
-  else
-    std::printf("valid: %zu adapters, %zu upstreams, %zu routes\n",
-                D->adapters().size(), D->upstreams().size(),
-                D->routes().size());
+    return 0;
+  }
+  std::printf("valid: %zu adapters, %zu upstreams, %zu routes\n",
+              D->adapters().size(), D->upstreams().size(), D->routes().size());
+  printLines(Ranks, false);
   return 0;
 }
 
--- a/config/declarations.cc
+++ b/config/declarations.cc
@@ -150,6 +150,9 @@
   F.number("worth", R.Worth, 0.001, 1000);
   if (R.Deadline < R.Target)
     F.problem("'deadline_ms' is less than 'target_ms'", "deadline_ms");
+  F.millis("max_pause_ms", R.MaxPause, 1, MillisPerDay);
+  if (R.MaxPause > R.Deadline)
+    F.problem("'max_pause_ms' is greater than 'deadline_ms'", "max_pause_ms");
   Out.Ranks.push_back(R);
 }
 
--- a/config/declarations.h
+++ b/config/declarations.h
@@ -47,6 +47,9 @@
   Duration Target = std::chrono::seconds(10);
   /// After this time the request ends with an error.
   Duration Deadline = std::chrono::seconds(20);
+  /// Longest pause between two parts of a streamed answer that is still on
+  /// time; zero if none is declared.
+  Duration MaxPause{};
   /// Fraction of an upstream's work that this rank is guaranteed while other
   /// ranks send more than the upstream can serve.
   double Share = 0;
--- a/config/testing/config_test.cc
+++ b/config/testing/config_test.cc
@@ -58,6 +58,10 @@
      "f.ini:16: 'target_ms' must be a number"},
     {"[rank bulk]\npriority = 1\ntarget_ms = 10\ndeadline_ms = 5\n",
      "f.ini:17: 'deadline_ms' is less than 'target_ms'"},
+    {"[rank bulk]\npriority = 1\ntarget_ms = 10\nmax_pause_ms = 0\n",
+     "'max_pause_ms' must be"},
+    {"[rank bulk]\npriority = 1\ntarget_ms = 10\nmax_pause_ms = 21\n",
+     "f.ini:17: 'max_pause_ms' is greater than 'deadline_ms'"},
     {"[rank bulk]\npriority = 0\ntarget_ms = 10\n", "have the same priority"},
     {"[rank bulk]\npriority = 1\ntarget_ms = 9\nshare = 0.9\n"
      "[rank last]\npriority = 2\ntarget_ms = 9\nshare = 0.2\n",
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -76,6 +76,15 @@
   Message.set_expected_us(static_cast<uint64_t>(Reply.Expected.count()));
   Message.set_only_holders(!Reply.TryElsewhere);
   Message.set_engine_started_ms(Reply.EngineStartedMs);
+  Message.set_observes_pauses(Reply.ObservesPauses);
+  return Out;
+}
+
+wire::Envelope encodePause(uint64_t RequestId, Duration Length) {
+  wire::Envelope Out;
+  Out.mutable_stream_pause()->set_id(RequestId);
+  Out.mutable_stream_pause()->set_pause_us(
+      static_cast<uint64_t>(Length.count()));
   return Out;
 }
 
@@ -89,6 +98,7 @@
   Reply.Expected = Duration(static_cast<int64_t>(Message.expected_us()));
   Reply.TryElsewhere = !Message.only_holders();
   Reply.EngineStartedMs = Message.engine_started_ms();
+  Reply.ObservesPauses = Message.observes_pauses();
   return Reply;
 }
 
--- a/daemon/admission_codec.h
+++ b/daemon/admission_codec.h
@@ -19,6 +19,8 @@
                                         std::string Peer);
 wire::Envelope encodeReply(uint64_t RequestId, const AdmissionReply &Reply);
 AdmissionReply decodeReply(const wire::AdmissionReply &Message);
+/// The engine made no event for \p Length of the stream of an admitted request.
+wire::Envelope encodePause(uint64_t RequestId, Duration Length);
 wire::Envelope encodeEnd(uint64_t RequestId, Duration FirstToken,
                          uint64_t Entry);
 /// \p UpstreamId names the engine's incarnation, \p EntryCount is the number of
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -484,6 +484,10 @@
       const wire::AdmissionReply &Reply = Message.admission_reply();
       return Forwarder.onAdmission(Now, Id, Reply.id(), decodeReply(Reply));
     }
+    if (Message.has_stream_pause())
+      return Forwarder.onEnginePause(
+          Message.stream_pause().id(),
+          Duration(static_cast<int64_t>(Message.stream_pause().pause_us())));
     if (Message.has_upstream_leaving())
       return Forwarder.onLeaving(Now,
                                  decodeLeaving(Message.upstream_leaving()));
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -339,6 +339,14 @@
     Control.log(Class, std::move(Line));
   }
 
+  void reportPause(const std::string &Entry, uint64_t Id,
+                   Duration Length) override {
+    wire::Envelope E = encodePause(Id, Length);
+    if (!EntrySocket.send(peerOf(Entry), E))
+      Control.log(LogClass::Routine,
+                  "pause outcome=entry_gone ask=" + std::to_string(Id));
+  }
+
   void sendLoad(const std::string &Peer, const EngineLoad &Load) {
     wire::Envelope E = encodeLoad(Load, InstanceId, LastSeen.size());
     send(Peer, E);
--- a/daemon/request_metrics.cc
+++ b/daemon/request_metrics.cc
@@ -36,6 +36,11 @@
   Quantile TotalP99 = quantile(0.99);
   Quantile FirstByteP50 = quantile(0.5);
   Quantile FirstByteP99 = quantile(0.99);
+  // Of streamed answers with two parts or more.
+  Mean PauseMean;
+  Quantile PauseP50 = quantile(0.5);
+  Quantile PauseP99 = quantile(0.99);
+  uint64_t LatePauses = 0;
 };
 
 RequestMetrics::RequestMetrics() { Queue.set_capacity(QueueRecords); }
@@ -61,6 +66,13 @@
     S.Attempts += R.Attempts;
     ++S.EndCounts[std::string(codeName(R.Why)) + "\",outcome=\"" +
                   std::string(outcomeName(R.Known))];
+    if (R.LongestPause > Duration(0)) {
+      S.PauseMean(seconds(R.LongestPause));
+      S.PauseP50(seconds(R.LongestPause));
+      S.PauseP99(seconds(R.LongestPause));
+      S.LatePauses +=
+          R.MaxPause > Duration(0) && R.LongestPause > R.MaxPause ? 1 : 0;
+    }
     if (R.Why != Code::None)
       continue;
     S.TotalMean(seconds(R.Total));
@@ -85,6 +97,13 @@
     Line("attempts_total", "", S->Attempts);
     for (const auto &[End, Count] : S->EndCounts)
       Line("request_ends_total", ",code=\"" + End + "\"", Count);
+    if (acc::count(S->PauseMean) > 0) {
+      Line("longest_pause_seconds", ",quantile=\"0.5\"",
+           acc::p_square_quantile(S->PauseP50));
+      Line("longest_pause_seconds", ",quantile=\"0.99\"",
+           acc::p_square_quantile(S->PauseP99));
+      Line("longest_pauses_late_total", "", S->LatePauses);
+    }
     if (acc::count(S->TotalMean) == 0)
       continue;
     Line("answer_seconds_mean", "", acc::mean(S->TotalMean));
--- a/entry/actions.h
+++ b/entry/actions.h
@@ -105,6 +105,10 @@
   Outcome Known = Outcome::Ran;
   Duration Total{};
   Duration FirstByte{};
+  /// Between two parts of a streamed answer; zero if it had fewer.
+  Duration LongestPause{};
+  /// Of the rank; zero if none is declared.
+  Duration MaxPause{};
   bool WithinTarget = false;
   uint32_t Attempts = 0;
 };
--- a/entry/entry_answers.cc
+++ b/entry/entry_answers.cc
@@ -96,6 +96,9 @@
   case wire::AttemptEvent::DATA:
     if (Active.FirstByte == Time{})
       Active.FirstByte = Now.Steady;
+    Active.Pauses.onEvents(
+        Now.Steady, Active.AttemptCount,
+        Delays.longestSince(Active.Pauses.lastAt(), Now.Steady));
     deliverHead(Active, Out);
     Out.emplace_back(DeliverData{Active.Request.Id, Event.data()});
     return;
@@ -117,6 +120,9 @@
   const std::string Id = Active.Request.Id;
   if (Active.FirstByte == Time{})
     Active.FirstByte = Now.Steady;
+  Active.Pauses.setObserved(Event.observes_pauses());
+  Active.Pauses.onUpstreamPause(
+      Duration(static_cast<int64_t>(Event.longest_pause_us())));
   if (Active.HeadStatus != 0) {
     deliverHead(Active, Out);
     if (!Event.data().empty())
--- a/entry/entry_routing.cc
+++ b/entry/entry_routing.cc
@@ -277,6 +277,8 @@
   WireAttempt.set_time_left_us(
       MicrosUntil(Active.Deadline - Opts.deadlineMargin()));
   WireAttempt.set_target_left_us(MicrosUntil(Active.Target));
+  WireAttempt.set_max_pause_us(
+      static_cast<uint64_t>(Active.Rank.MaxPause.count()));
   WireAttempt.set_idempotent(Active.Idempotent);
   if (!Active.Idempotent) {
     WireAttempt.set_key(Active.Request.Key);
--- a/entry/entry_state_machine.cc
+++ b/entry/entry_state_machine.cc
@@ -20,6 +20,16 @@
 constexpr double RetriesPerRequest = 0.2;
 constexpr double MaxSavedRetries = 100;
 constexpr Duration RefusalRetryAfter = std::chrono::seconds(1);
+
+// The longest pause of a stream and where it came about, for its end line;
+// empty for other requests.
+std::string describePause(const PauseMeter &Pauses) {
+  const Duration Length = Pauses.longest().Length;
+  return Length == Duration(0)
+             ? std::string()
+             : " pause_ms=" + std::to_string(Length.count() / 1000) +
+                   " pause_in=" + std::string(pausePlaceName(Pauses.place()));
+}
 } // namespace
 
 EntryStateMachine::EntryStateMachine(Options Opts,
@@ -200,6 +210,8 @@
   Record.FirstByte = Active.FirstByte == Time{}
                          ? Record.Total
                          : Active.FirstByte - Active.Arrived;
+  Record.LongestPause = Active.Pauses.longest().Length;
+  Record.MaxPause = Active.Rank.MaxPause;
   Record.WithinTarget = Why == Code::None && Now.Steady <= Active.Target;
   Record.Attempts = Active.AttemptCount;
   Out.emplace_back(std::move(Record));
@@ -209,7 +221,8 @@
           " code=" + std::string(codeName(Why)) +
           " outcome=" + std::string(outcomeName(Known)) +
           " attempts=" + std::to_string(Active.AttemptCount) +
-          " took_us=" + std::to_string((Now.Steady - Active.Arrived).count())});
+          " took_us=" + std::to_string((Now.Steady - Active.Arrived).count()) +
+          describePause(Active.Pauses)});
   Requests.erase(It);
 }
 
@@ -222,6 +235,7 @@
 }
 
 void EntryStateMachine::onTimer(const CurrentTime &Now, Actions &Out) {
+  Delays.onTimer(Now.Steady);
   std::vector<std::string> Expired;
   std::vector<std::string> RetryDue;
   for (const auto &[Id, Active] : Requests) {
--- a/entry/entry_state_machine.h
+++ b/entry/entry_state_machine.h
@@ -20,6 +20,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "base/pause_meter.h"
+#include "base/process_delays.h"
 #include "base/random.h"
 #include "config/declarations.h"
 #include "entry/actions.h"
@@ -151,6 +153,7 @@
     Time Target;
     Time Deadline;
     Time FirstByte{};
+    PauseMeter Pauses;
     // Id of the open attempt; empty while the request waits for probe replies
     // or for the end of a backoff.
     std::string OpenAttempt;
@@ -258,6 +261,7 @@
   Random Rand;
   uint64_t IdCounter = 0;
   RetryBudget Budget;
+  ProcessDelays Delays;
   std::unordered_map<std::string, ActiveRequest> Requests;
   std::unordered_map<std::string, Attempt> Attempts;
   // Ids of open attempts, by upstream.
--- a/entry/testing/entry_state_machine_test.cc
+++ b/entry/testing/entry_state_machine_test.cc
@@ -16,7 +16,7 @@
 std::shared_ptr<const Declarations> config() {
   std::ostringstream Text;
   Text << "[rank urgent]\npriority = 0\ntarget_ms = 4000\n"
-          "deadline_ms = 5000\n"
+          "deadline_ms = 5000\nmax_pause_ms = 300\n"
           "[rank bulk]\npriority = 1\ntarget_ms = 9000\n"
           "[application app]\nranks = urgent\n"
           "[route /orders]\nservice = ledger\nidempotent = no\n"
@@ -363,3 +363,46 @@
   CHECK(parseCallerRequest(std::move(Uuid), "r").Request.KeyIssuedMs ==
         0x018f00000001);
 }
+
+TEST_CASE("the longest pause of a stream is measured against its rank's") {
+  struct Row {
+    const char *Name;
+    // Seen beside the engine; negative: the side does not know.
+    int64_t SideMs;
+    const char *Place;
+  };
+  const Row Rows[] = {{"not known", -1, "upstream"},
+                      {"the engine", 390, "engine"},
+                      {"between side and entry", 20, "network"}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    EntryFixture Entry;
+    Entry.completion(0);
+    Entry.answerProbes(1);
+    REQUIRE(Entry.attempt());
+    CHECK(Entry.attempt()->Message.attempt().max_pause_us() == 300000);
+    Entry.event(10, wire::AttemptEvent::HEAD, 0);
+    Entry.event(20, wire::AttemptEvent::DATA, 1);
+    Entry.event(420, wire::AttemptEvent::DATA, 2);
+    wire::Envelope E;
+    wire::AttemptEvent &Done = *E.mutable_event();
+    Done.set_attempt_id(Entry.attempt()->Message.attempt().attempt_id());
+    Done.set_kind(wire::AttemptEvent::DONE);
+    Done.set_sequence(3);
+    Done.set_observes_pauses(R.SideMs >= 0);
+    Done.set_longest_pause_us(
+        static_cast<uint64_t>(std::max<int64_t>(0, R.SideMs) * 1000));
+    Entry.Machine.onEnvelope(at(430), Entry.attempt()->Upstream, E, Entry.Out);
+    const RequestRecord *Record = nullptr;
+    std::string Line;
+    for (const Action &A : Entry.Out)
+      if (const auto *Found = std::get_if<RequestRecord>(&A))
+        Record = Found;
+      else if (const auto *L = std::get_if<LogDecision>(&A))
+        Line = L->Line;
+    REQUIRE(Record);
+    CHECK(Record->LongestPause == std::chrono::milliseconds(400));
+    CHECK(Record->MaxPause == std::chrono::milliseconds(300));
+    CHECK(Line.ends_with(" pause_ms=400 pause_in=" + std::string(R.Place)));
+  }
+}
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -378,6 +378,12 @@
   return false;
 }
 
+void Forwarder::onEnginePause(uint64_t AdmissionId, Duration Length) {
+  if (const auto It = CallByAdmission.find(AdmissionId);
+      It != CallByAdmission.end())
+    Calls.at(It->second).EventPauses.onUpstreamPause(Length);
+}
+
 void Forwarder::endAdmission(ActiveCall &Call) {
   if (Call.AdmissionId == 0)
     return;
@@ -407,6 +413,7 @@
       endAdmission(Call);
       return placeOnEngine(Now, Call);
     }
+    Call.EventPauses.setObserved(Reply.ObservesPauses);
     return checkVersion(Now, Call, Reply) ? sendTo(Now, Call, Reply.Version)
                                           : void();
   case Verdict::Wait:
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -21,6 +21,8 @@
 #include <vector>
 
 #include "admission/side_admission.h"
+#include "base/pause_meter.h"
+#include "base/process_delays.h"
 #include "base/random.h"
 #include "catalog/catalog.h"
 #include "forward/call.h"
@@ -28,7 +30,6 @@
 #include "forward/crash_detector.h"
 #include "forward/engine_ranker.h"
 #include "forward/forward_port.h"
-#include "forward/pause_meter.h"
 #include "forward/retry_allowance.h"
 #include "forward/service_balancer.h"
 #include "forward/start_gate.h"
@@ -119,6 +120,9 @@
   void onCallerGone(Time Now, uint64_t Id);
   void onAdmission(Time Now, const std::string &UpstreamId,
                    uint64_t AdmissionId, const AdmissionReply &Reply);
+  /// The side that admitted the request has seen that the engine made no event
+  /// of its stream for \p Length.
+  void onEnginePause(uint64_t AdmissionId, Duration Length);
   void onLoad(Time Now, const std::string &UpstreamId, const EngineLoad &Load);
   /// The catalog has all changes of the upstreams before \p AsOf.
   void onCurrentCatalog(Time AsOf) { Versions.onCurrent(AsOf); }
@@ -433,6 +437,7 @@
   // Calls in progress that are isolated, at most one.
   size_t IsolatedCalls = 0;
   Time NextCrashExpiry{};
+  ProcessDelays Delays;
   std::map<std::string, RetryAllowance> Allowances;
   // Ids of queued calls, by plain service.
   std::map<std::string, std::deque<uint64_t>> Queues;
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -71,7 +71,7 @@
   std::string Out = " pause_ms=" + std::to_string(P.Length.count() / 1000);
   if (P.Length > Duration(0))
     Out += " pause_ago_ms=" + std::to_string((Now - P.EndedAt).count() / 1000) +
-           " pause_in=" + (P.BetweenSends ? "resume" : "engine");
+           " pause_in=" + std::string(pausePlaceName(Call.EventPauses.place()));
   return Out;
 }
 
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -150,7 +150,8 @@
   }
   if (!Complete.empty()) {
     noteOutput(Now, *Call);
-    Call->EventPauses.onEvents(Now, Call->Sends);
+    Call->EventPauses.onEvents(
+        Now, Call->Sends, Delays.longestSince(Call->EventPauses.lastAt(), Now));
     Call->CurrentStage = Stage::Streaming;
     if (!Call->HeadForwarded) {
       noteOrigin(Now, *Call);
@@ -391,6 +392,7 @@
 void Forwarder::schedule(Time When, uint64_t Id) { Timers.push({When, Id}); }
 
 void Forwarder::onTimer(Time Now) {
+  Delays.onTimer(Now);
   if (Now >= NextCrashExpiry) {
     NextCrashExpiry = Now + CrashExpiryInterval;
     Crashes.expire(Now);
--- a/forward/testing/forwarder_harness.h
+++ b/forward/testing/forwarder_harness.h
@@ -146,7 +146,7 @@
   void shareVerdicts(std::span<const TraitVerdict> New) override {
     Verdicts.assign(New.begin(), New.end());
   }
-  void log(LogClass, std::string) override {}
+  void log(LogClass, std::string Line) override { LastLine = std::move(Line); }
   void record(uint32_t, std::string_view, Duration, Duration) override {}
   void recordPause(uint32_t, Duration Longest, Duration MaxPause) override {
     RecordedPauses.push_back({Longest, MaxPause});
@@ -166,6 +166,7 @@
   std::vector<TraitOutput> Outputs;
   std::vector<TraitVerdict> Verdicts;
   std::vector<std::pair<Duration, Duration>> RecordedPauses;
+  std::string LastLine;
   unsigned Status = 0;
   std::string Body;
   Duration RetryAfter{};
@@ -206,6 +207,7 @@
     R.Decision = V;
     R.Version = 1;
     R.Expected = std::chrono::milliseconds(400);
+    R.ObservesPauses = ObservesPauses;
     const Recorder::SentAdmission &A = Port.Admissions.back();
     Machine.onAdmission(at(Ms), A.Upstream, A.Request.Id, R);
   }
@@ -243,6 +245,8 @@
     Machine.onError(at(Ms), Port.Sends.back().Id, E, "reset");
   }
 
+  // Whether sides report the pauses of their engines.
+  bool ObservesPauses = true;
   Recorder Port;
   Forwarder Machine;
 };
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -625,3 +625,41 @@
   CHECK(E.Port.EndedAdmissions.contains(First.Request.Id));
   CHECK(E.Port.Admissions.back().Upstream != First.Upstream);
 }
+
+TEST_CASE("the end line of a stream says where its longest pause came about") {
+  struct Row {
+    const char *Name;
+    bool ObservesPauses;
+    // Reported by the side; 0: none.
+    int64_t EnginePauseMs;
+    // The process does nothing from 110 to 500 ms.
+    bool StandsStill;
+    const char *Expected;
+  };
+  const Row Rows[] = {
+      {"no side that knows", false, 0, false, " pause_in=upstream"},
+      {"the engine", true, 380, false, " pause_in=engine"},
+      {"the network", true, 0, false, " pause_in=network"},
+      {"this process", true, 0, true, " pause_in=process"},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Entry E;
+    E.ObservesPauses = R.ObservesPauses;
+    E.call("/stream/x");
+    E.replyAdmission(2);
+    const SendId S = E.Port.Sends.back().Id;
+    E.Machine.onHead(at(100), S, Entry::head(200));
+    E.Machine.onData(at(100), S, "id: 1\n\n");
+    for (int64_t Ms = 110; Ms <= 500; Ms += 10)
+      if (!R.StandsStill || Ms == 110)
+        E.Machine.onTimer(at(Ms));
+    E.Machine.onData(at(500), S, "id: 2\n\n");
+    if (R.EnginePauseMs > 0)
+      E.Machine.onEnginePause(E.Port.Admissions.back().Request.Id,
+                              std::chrono::milliseconds(R.EnginePauseMs));
+    E.Machine.onDone(at(520), S);
+    CHECK(E.Port.LastLine.find(" pause_ms=400 ") != std::string::npos);
+    CHECK(E.Port.LastLine.ends_with(R.Expected));
+  }
+}
--- a/side/side_runs.cc
+++ b/side/side_runs.cc
@@ -175,9 +175,31 @@
   wire::AttemptEvent Event;
   Event.set_kind(wire::AttemptEvent::DATA);
   Event.set_data(std::move(Part));
+  R.Pauses.onEvents(Now.Steady, 0,
+                    Delays.longestSince(R.Pauses.lastAt(), Now.Steady));
   sendEvent(Id, std::move(Event), Out);
 }
 
+void SideStateMachine::notePauses(const ActiveAttempt &Attempt,
+                                  const PauseMeter &Pauses,
+                                  wire::AttemptEvent &Last, Actions &Out) {
+  const PauseMeter::Pause &Longest = Pauses.longest();
+  if (!Attempt.Request.stream())
+    return;
+  // What this process missed is not the upstream's.
+  Last.set_observes_pauses(Pauses.place() != PausePlace::Process);
+  if (Pauses.place() != PausePlace::Process)
+    Last.set_longest_pause_us(static_cast<uint64_t>(Longest.Length.count()));
+  const Duration MaxPause(static_cast<int64_t>(Attempt.Request.max_pause_us()));
+  if (MaxPause > Duration(0) && Longest.Length > MaxPause)
+    log(LogClass::Kept,
+        "long_pause attempt=" + Attempt.Request.attempt_id() +
+            " request=" + Attempt.Request.request_id() +
+            " pause_ms=" + std::to_string(Longest.Length.count() / 1000) +
+            " pause_in=" + std::string(pausePlaceName(Pauses.place())),
+        Out);
+}
+
 void SideStateMachine::updateServiceEstimate(const CurrentTime &Now,
                                              const Run &Ended,
                                              const ActiveAttempt &Attempt) {
@@ -240,6 +262,7 @@
     Last.set_content_type(Ended.ContentType);
   }
   Last.set_data(std::move(Rest));
+  notePauses(Attempt, Ended.Pauses, Last, Out);
   ++Counters.Finished;
   finishAttempt(Now, Id, std::move(Last), Out);
   startReady(Now, Out);
@@ -479,6 +502,7 @@
 }
 
 void SideStateMachine::onTimer(const CurrentTime &Now, Actions &Out) {
+  Delays.onTimer(Now.Steady);
   if (Now.Steady >= NextExpiry) {
     NextExpiry = Now.Steady + ExpiryInterval;
     Ledger.expire(Now);
--- a/side/side_state_machine.h
+++ b/side/side_state_machine.h
@@ -20,6 +20,8 @@
 #include <unordered_map>
 #include <unordered_set>
 
+#include "base/pause_meter.h"
+#include "base/process_delays.h"
 #include "base/refusal.h"
 #include "base/time.h"
 #include "config/declarations.h"
@@ -249,6 +251,7 @@
     Time Started;
     Time LastProgress;
     Time FirstData{};
+    PauseMeter Pauses;
     unsigned Status = 0;
     std::string ContentType;
     std::string Body;
@@ -300,6 +303,10 @@
                      Actions &Out);
   void failAttempt(const CurrentTime &Now, const std::string &Id, Code Reason,
                    Outcome KnownOutcome, bool Suspect, Actions &Out);
+  /// States the longest pause of the attempt's stream in its last event, and
+  /// logs one that the caller's rank does not allow.
+  void notePauses(const ActiveAttempt &Attempt, const PauseMeter &Pauses,
+                  wire::AttemptEvent &Last, Actions &Out);
   void updateServiceEstimate(const CurrentTime &Now, const Run &Ended,
                              const ActiveAttempt &Attempt);
   void decayLoadWaits();
@@ -384,6 +391,7 @@
   double ServiceSeconds = 0.05;
   std::vector<double> LoadWaitSeconds;
   SideCounters Counters;
+  ProcessDelays Delays;
 };
 
 /// Switches off one protection, so that a test can show that it is needed.
--- a/side/testing/side_state_machine_test.cc
+++ b/side/testing/side_state_machine_test.cc
@@ -295,6 +295,39 @@
   CHECK(First.Message.event().sequence() == 1);
 }
 
+TEST_CASE("the last event of a stream states its longest pause at the side") {
+  for (const int64_t MaxPauseMs : {0, 300, 500}) {
+    CAPTURE(MaxPauseMs);
+    SideFixture Side("e");
+    wire::Attempt A;
+    A.set_upstream("e");
+    A.set_adapter("a");
+    A.set_version("1");
+    A.set_idempotent(true);
+    A.set_stream(true);
+    A.set_max_tokens(10);
+    A.set_max_pause_us(static_cast<uint64_t>(MaxPauseMs * 1000));
+    Side.sendAttempt(0, "1", A);
+    Side.completeLoads(1);
+    REQUIRE(Side.count<StartRun>() == 1);
+    const std::string Part = "data: {\"model\":\"a@1\",\"id\":\"1\"}\n\n";
+    Side.Machine.onRunHead(at(10), "1", 200, "text/event-stream", Side.Out);
+    Side.Machine.onRunData(at(20), "1", Part, Side.Out);
+    Side.Machine.onRunData(at(420), "1", Part, Side.Out);
+    Side.Machine.onRunData(at(430), "1", "data: [DONE]\n\n", Side.Out);
+    Side.Machine.onRunDone(at(440), "1", Side.Out);
+    const wire::AttemptEvent Last = Side.lastEvent("1");
+    REQUIRE(Last.kind() == wire::AttemptEvent::DONE);
+    CHECK(Last.observes_pauses());
+    CHECK(Last.longest_pause_us() == 400000);
+    size_t Lines = 0;
+    for (const Action &Item : Side.Out)
+      if (const auto *L = std::get_if<LogDecision>(&Item))
+        Lines += L->Line.starts_with("long_pause ") ? 1 : 0;
+    CHECK(Lines == (MaxPauseMs == 300 ? 1 : 0));
+  }
+}
+
 TEST_CASE("a new configuration keeps the waiting attempts") {
   SideFixture Side("e");
   Side.sendCompletion(0, "1");
