Watch upstreams less often the more entries share what they learn

The pause between two watches now grows with the entries, up to half of the platform's drain time, so that an entry that hears nothing from the others still learns in time that an upstream drains.

--- a/cli/fleet_view.cc
+++ b/cli/fleet_view.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 
 #include "base/random.h"
+#include "config/settings.h"
 #include "daemon/store_watcher.h"
 
 namespace goldcrestlink {
@@ -76,7 +77,7 @@
       Io.stop();
   };
   StoreWatcher Watcher(
-      Io, Store, freshSeed(), StopIfComplete,
+      Io, Store, FleetSettings().DrainTime, freshSeed(), StopIfComplete,
       [&](std::string Line) { LastLogLine = std::move(Line); });
   WatcherPtr = &Watcher;
   boost::asio::steady_timer Deadline(Io, Timeout);
--- a/config/settings.cc
+++ b/config/settings.cc
@@ -91,6 +91,7 @@
   F.number("retry_slack", S.RetrySlack, 0, 1e9);
   F.number("retry_window_s", WindowSeconds, 0.1, 3600);
   F.number("stop_s", StopSeconds, 0.5, 3600);
+  F.millis("drain_ms", S.DrainTime, 1, 3600000);
   S.RetryWindow = fromSeconds(WindowSeconds);
   S.StopTimeout = fromSeconds(StopSeconds);
 }
--- a/config/settings.h
+++ b/config/settings.h
@@ -39,6 +39,8 @@
   double RetryRatio = 0.2;
   double RetrySlack = 50;
   Duration RetryWindow = std::chrono::seconds(10);
+  /// How long after its report a draining upstream may still get requests.
+  Duration DrainTime = std::chrono::seconds(2);
   /// The process exits within this time after SIGTERM.
   Duration StopTimeout = std::chrono::seconds(8);
 };
--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -55,7 +55,8 @@
                        Io, [this, Count] { Store.setEntryCount(Count); });
                  }}),
         Store(
-            Io, ProcessSettings.Fleet.Store, Seed + 1, [this] { publish(); },
+            Io, ProcessSettings.Fleet.Store, ProcessSettings.Fleet.DrainTime,
+            Seed + 1, [this] { publish(); },
             [this](std::string Line) { Control.log(std::move(Line)); }),
         Shutdown(Io, {[this] { Traffic.announceStop(); },
                       [this] { Traffic.stopAccepting(); },
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -6,31 +6,23 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 
+#include "daemon/watch_pace.h"
+
 namespace goldcrestlink {
 
 namespace {
 // How often to look for deferred changes whose grace period after an outage or
 // restore of the store has ended.
 constexpr Duration DeferredCheckInterval = std::chrono::milliseconds(200);
-// Pause between watches of upstreams, so that one call reports several changes:
-// each upstream writes its record about once a second, mostly to change values
-// that are not used here. A draining upstream must be known well within the
-// platform's two seconds.
-constexpr Duration UpstreamWatchPause = std::chrono::milliseconds(600);
-// Mean time between renewals of watches of one kind over all entries. A store
-// that drops its history does not answer open watches, so a change may be seen
-// only after a renewal; configurations must be in force within two seconds and
-// releases within five.
-constexpr Duration ConfigRenewalInterval = std::chrono::milliseconds(450);
-constexpr Duration ReleaseRenewalInterval = std::chrono::milliseconds(1000);
 } // namespace
 
 StoreWatcher::StoreWatcher(boost::asio::io_context &InIo,
-                           const http::Endpoint &Address, uint64_t Seed,
-                           OnChanged InNotifyChanged, OnLog InLog)
+                           const http::Endpoint &Address, Duration InDrainTime,
+                           uint64_t Seed, OnChanged InNotifyChanged,
+                           OnLog InLog)
     : Io(InIo), Store(InIo, Address, platform::StoreClient::Options(), Seed),
-      DeferredTimer(InIo), NotifyChanged(std::move(InNotifyChanged)),
-      Log(std::move(InLog)) {}
+      DrainTime(InDrainTime), DeferredTimer(InIo),
+      NotifyChanged(std::move(InNotifyChanged)), Log(std::move(InLog)) {}
 
 void StoreWatcher::start() {
   using platform::StoreObject;
@@ -72,7 +64,7 @@
         NotifyCurrent(AsOf);
     });
   };
-  Upstreams.BatchDelay = UpstreamWatchPause;
+  Upstreams.BatchDelay = watchPace(1, DrainTime).UpstreamPause;
   Store.watch(platform::kinds::Upstreams, std::move(Upstreams));
 
   platform::WatchHandlers Releases = handlersFor(platform::kinds::Releases);
@@ -107,10 +99,10 @@
 }
 
 void StoreWatcher::setEntryCount(size_t Count) {
-  const auto Factor = static_cast<int64_t>(Count);
-  Store.setWatchTime(platform::kinds::Config, ConfigRenewalInterval * Factor);
-  Store.setWatchTime(platform::kinds::Releases,
-                     ReleaseRenewalInterval * Factor);
+  const WatchPace Pace = watchPace(Count, DrainTime);
+  Store.setBatchDelay(platform::kinds::Upstreams, Pace.UpstreamPause);
+  Store.setWatchTime(platform::kinds::Config, Pace.ConfigRenewal);
+  Store.setWatchTime(platform::kinds::Releases, Pace.ReleaseRenewal);
 }
 
 void StoreWatcher::logList(std::string_view Kind, StoreRevision Revision,
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -28,17 +28,17 @@
   /// had made before a time, after OnChanged.
   using OnCurrent = std::function<void(Time)>;
 
+  /// \p DrainTime: see watchPace().
   StoreWatcher(boost::asio::io_context &Io, const http::Endpoint &Store,
-               uint64_t Seed, OnChanged NotifyChanged, OnLog Log);
+               Duration DrainTime, uint64_t Seed, OnChanged NotifyChanged,
+               OnLog Log);
   /// Lists and watches the store from now on, as long as the object exists.
   void start();
   void onCurrent(OnCurrent Callback) { NotifyCurrent = std::move(Callback); }
   /// Applies newer catalog state received from another process.
   void onCatalogUpdate(const CatalogUpdate &Update);
   /// Sets the number of entries that exchange catalog state, this one included.
-  /// Each renews its watches of configurations and releases at intervals
-  /// proportional to this number, so that the total rate of renewals does not
-  /// grow with the number of entries.
+  /// Each asks the store at the pace of watchPace().
   void setEntryCount(size_t Count);
   const Catalog &catalog() const { return KnownCatalog; }
   /// False while the store cannot be reached.
@@ -71,6 +71,7 @@
 
   boost::asio::io_context &Io;
   platform::StoreClient Store;
+  Duration DrainTime;
   boost::asio::steady_timer DeferredTimer;
   Catalog KnownCatalog;
   UnreadableObjects Unreadable;
