Count the demand for adapters where their requests are admitted (adapters fetched)

Cause: each entry multiplied its own arrivals by the number of entries, so that with 27 a single request was more than the 18 arrivals that may be random, and had a second copy prefetched.

Sides now count the requests at their engines, report each adapter's part of the engine's prefill time with the load, at once if it rises clearly, and entries add these up.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -231,6 +231,9 @@
                   "engine_unreachable");
   if (answerAgain(Now, Request))
     return;
+  if (!Request.Adapter.empty())
+    Demand.onRequest(Now, adapterHash(Request.Model, Request.Adapter),
+                     Request.PromptTokens);
   const bool Ready = ready(Now, Request);
   if (Ready && hasCapacity(Now, Request) && Queue.empty() &&
       !holdsPrompt(promptDecision(Now, Request, Now)))
@@ -470,6 +473,7 @@
       1.0, roundUp(Pauses.worstSlowdown(Now) / Pauses.slowdown(Now), 0.25));
   Out.SlowShare = roundUp(Pauses.slowShare(), 0.05);
   Out.Running = static_cast<uint32_t>(Grants.size());
+  Out.Demand = Demand.shares(Now, Prefill.rate());
   for (const auto &[Name, S] : Adapters) {
     if (isOutdated(Now, Name))
       continue;
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -20,6 +20,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "admission/adapter_demand.h"
 #include "admission/engine_report.h"
 #include "admission/kept_parts.h"
 #include "admission/load_window.h"
@@ -112,6 +113,8 @@
   std::vector<uint32_t> Held;
   /// Adapters that are being loaded.
   std::vector<uint32_t> Incoming;
+  /// Demand for adapters at this engine, held or not.
+  std::vector<AdapterShare> Demand;
 
   bool operator==(const EngineLoad &) const = default;
 };
@@ -347,6 +350,7 @@
   PrefillModel Prefill;
   PauseModel Pauses;
   KeptParts Kept;
+  AdapterDemand Demand;
   RateLimit RequestRate;
   // From the grant to the end of a request; zero until one has ended.
   Duration MeanRunTime{};
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -104,6 +104,28 @@
   CHECK(S.Port.Replies[2] == Verdict::Go);
 }
 
+TEST_CASE("the load of an engine names the adapters in demand, however many "
+          "entries ask") {
+  Side S({{"a", 1}, {"b", 1}});
+  uint64_t Id = 0;
+  for (int64_t Ms = 0; Ms < 2000; Ms += 20) {
+    AdmissionRequest Request = request(++Id, "a");
+    Request.Peer = "entry" + std::to_string(Id % 27);
+    Request.PromptTokens = 640;
+    S.Admission.onAdmissionRequest(at(Ms), Request);
+    // Asked again, it is the same request.
+    S.Admission.onAdmissionRequest(at(Ms), Request);
+    S.Admission.onEnd(at(Ms + 10), Request.Peer, Id, Duration(0));
+  }
+  S.Admission.onAdmissionRequest(at(2000), request(++Id, "b"));
+  const EngineLoad L = S.Admission.load(at(2000));
+  REQUIRE(L.Demand.size() == 1);
+  CHECK(L.Demand[0].Adapter == adapterHash("m", "a"));
+  // 50 requests of 640 tokens a second, of about 20,000.
+  CHECK(L.Demand[0].Percent >= 100);
+  CHECK(L.Demand[0].Percent <= 175);
+}
+
 TEST_CASE("long pauses of granted streams are reported to their entry") {
   struct Row {
     const char *Name;
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -133,6 +133,10 @@
     Message.add_held(Hash);
   for (const uint32_t Hash : Load.Incoming)
     Message.add_incoming(Hash);
+  for (const AdapterShare &S : Load.Demand) {
+    Message.add_demanded(S.Adapter);
+    Message.add_demand_percent(S.Percent);
+  }
   Message.set_upstream(std::string(UpstreamId));
   Message.set_entries(static_cast<uint32_t>(EntryCount));
   return Out;
@@ -155,6 +159,10 @@
   Load.RequestLimit = static_cast<double>(Message.limit_per_1000_s()) / 1000;
   Load.Held.assign(Message.held().begin(), Message.held().end());
   Load.Incoming.assign(Message.incoming().begin(), Message.incoming().end());
+  for (int I = 0;
+       I < std::min(Message.demanded_size(), Message.demand_percent_size());
+       ++I)
+    Load.Demand.push_back({Message.demanded(I), Message.demand_percent(I)});
   return Load;
 }
 
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -356,7 +356,8 @@
     const EngineLoad Load = Admission.load(Now);
     const bool Changed = Load.Held != LastLoad.Held ||
                          Load.Incoming != LastLoad.Incoming ||
-                         Load.Serving != LastLoad.Serving;
+                         Load.Serving != LastLoad.Serving ||
+                         risesClearly(LastLoad.Demand, Load.Demand);
     const bool Unchanged = Load == LastLoad;
     if (Now - LoadSentAt <
             (Changed ? MinChangedLoadInterval : MinLoadInterval) ||
--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -8,26 +8,13 @@
 #include "forward/engine_ranker.h"
 
 #include <algorithm>
-#include <cmath>
+#include <tuple>
 
 #include "base/hash.h"
 
 namespace goldcrestlink::forward {
 
 namespace {
-// Time constant over which demand is averaged.
-constexpr double DemandSeconds = 5.0;
-// Time constant over which a sudden rise in demand is detected.
-constexpr double ShortTermSeconds = 0.7;
-// Arrivals at all entries within the short term that may be random fluctuation;
-// only more than these count as a rise.
-constexpr double NoiseArrivals = 18;
-// Prompt tokens counted per request at most: a single large prompt does not
-// show lasting demand.
-constexpr uint32_t MaxDemandTokens = 1500;
-// Prompt tokens per millisecond, while no engine has reported its rate.
-constexpr double DefaultPrefillRate = 20;
-
 // Adapters known to have been held until lately, for each engine.
 constexpr size_t MaxEvictedKnown = 64;
 // A side reports a load that an entry has caused within this time.
@@ -38,10 +25,6 @@
 template <class Hashes> bool contains(const Hashes &In, uint32_t Hash) {
   return std::find(In.begin(), In.end(), Hash) != In.end();
 }
-
-double decay(Duration Age, double TimeConstant) {
-  return std::exp(-seconds(Age) / TimeConstant);
-}
 } // namespace
 
 void EngineRanker::onLoad(Time Now, const std::string &Id,
@@ -64,40 +47,6 @@
   State.SideBackoffUntil = Time{};
 }
 
-void EngineRanker::onDemand(Time Now, const EngineRequirements &Required) {
-  if (Required.Adapter.empty())
-    return;
-  if (Demands.size() >= Opts.maxAdapters())
-    std::erase_if(Demands, [&](const auto &Item) {
-      return Now - Item.second.UpdatedAt > std::chrono::seconds(10);
-    });
-  if (Demands.size() >= Opts.maxAdapters())
-    return;
-  Demand &D = Demands[adapterName(Required.Model, Required.Adapter)];
-  const double Tokens = std::min(Required.PromptTokens, MaxDemandTokens);
-  const double ShortTermDecay = decay(Now - D.UpdatedAt, ShortTermSeconds);
-  D.TokenRate = D.TokenRate * decay(Now - D.UpdatedAt, DemandSeconds) +
-                Tokens / DemandSeconds;
-  D.ShortTermCount = D.ShortTermCount * ShortTermDecay + 1;
-  D.ShortTermTokens = D.ShortTermTokens * ShortTermDecay + Tokens;
-  D.UpdatedAt = Now;
-}
-
-double EngineRanker::tokenRate(Time Now, const std::string &Name) const {
-  const auto It = Demands.find(Name);
-  if (It == Demands.end())
-    return 0;
-  const Demand &D = It->second;
-  const double ShortTermDecay = decay(Now - D.UpdatedAt, ShortTermSeconds);
-  const double Count =
-      D.ShortTermCount * ShortTermDecay * static_cast<double>(Entries);
-  const double ShortTermRate =
-      D.ShortTermTokens * ShortTermDecay / ShortTermSeconds *
-      std::max(0.0, 1 - NoiseArrivals / std::max(Count, 1.0));
-  return std::max(D.TokenRate * decay(Now - D.UpdatedAt, DemandSeconds),
-                  ShortTermRate);
-}
-
 void EngineRanker::onSent(Time Now, const std::string &Id,
                           const EngineRequirements &Required,
                           Duration Interval) {
@@ -141,26 +90,22 @@
                 [&](const auto &Item) { return !Known.contains(Item.first); });
 }
 
-double EngineRanker::meanPrefillRate() const {
-  double Sum = 0;
-  size_t Count = 0;
-  for (const auto &[Id, State] : States)
-    if (State.Known) {
-      Sum += State.Load.PrefillRate;
-      ++Count;
-    }
-  return Count == 0 ? DefaultPrefillRate : Sum / static_cast<double>(Count);
-}
-
-size_t
-EngineRanker::preferredEngines(Time Now,
-                               const EngineRequirements &Required) const {
+size_t EngineRanker::preferredEngines(
+    Time Now, const EngineRequirements &Required,
+    std::span<const UpstreamRecord *const> ReadyUpstreams) const {
   if (Required.Adapter.empty())
     return 0;
-  const double PrefillLoad =
-      tokenRate(Now, adapterName(Required.Model, Required.Adapter)) *
-      static_cast<double>(Entries) / (meanPrefillRate() * 1000.0);
-  return 1 + static_cast<size_t>(PrefillLoad / Opts.adapterUtilisationLimit());
+  const uint32_t Hash = adapterHash(Required.Model, Required.Adapter);
+  double Percent = 0;
+  for (const UpstreamRecord *U : ReadyUpstreams) {
+    const auto It = States.find(U->Id);
+    if (It == States.end() || !isUsable(Now, It->second))
+      continue;
+    for (const AdapterShare &S : It->second.Load.Demand)
+      Percent += S.Adapter == Hash ? S.Percent : 0;
+  }
+  return 1 +
+         static_cast<size_t>(Percent / 100 / Opts.adapterUtilisationLimit());
 }
 
 void EngineRanker::dropExpired(Time Now, EngineState &State) {
@@ -178,6 +123,10 @@
                      });
 }
 
+bool EngineRanker::isHeld(Time Now, const EngineState &State, uint32_t Hash) {
+  return contains(State.Load.Held, Hash) || isComing(Now, State, Hash);
+}
+
 Duration EngineRanker::pauseCost(const EngineState &State,
                                  const EngineRequirements &Required,
                                  uint32_t Tokens) const {
@@ -196,32 +145,40 @@
     std::span<const UpstreamRecord *const> ReadyUpstreams) const {
   const uint32_t AdapterHash = adapterHash(Required.Model, Required.Adapter);
   const uint64_t Key = hash64(adapterName(Required.Model, Required.Adapter));
-  std::vector<std::pair<uint64_t, const UpstreamRecord *>> Order;
-  for (const UpstreamRecord *U : ReadyUpstreams)
-    Order.emplace_back(mixHash(Key, hash64(U->Id)), U);
-  std::sort(Order.begin(), Order.end(), std::greater<>());
-  const size_t PreferredCount = preferredEngines(Now, Required);
-  std::vector<EngineCandidate> Out;
   static const EngineState Unknown;
+  struct UsableEngine {
+    uint64_t Score;
+    const UpstreamRecord *Upstream;
+    const EngineState *State;
+  };
+  std::vector<UsableEngine> Order;
+  for (const UpstreamRecord *U : ReadyUpstreams) {
+    const auto It = States.find(U->Id);
+    const EngineState &State = It == States.end() ? Unknown : It->second;
+    if (isUsable(Now, State))
+      Order.push_back({mixHash(Key, hash64(U->Id)), U, &State});
+  }
+  std::sort(Order.begin(), Order.end(),
+            [](const UsableEngine &A, const UsableEngine &B) {
+              return std::tie(A.Score, A.Upstream) >
+                     std::tie(B.Score, B.Upstream);
+            });
+  const size_t PreferredCount = preferredEngines(Now, Required, ReadyUpstreams);
+  std::vector<EngineCandidate> Out;
   size_t Position = 0;
-  // Engines that cannot be used now do not count.
+  const bool HeldNow =
+      std::any_of(Order.begin(), Order.end(), [&](const UsableEngine &E) {
+        return isHeld(Now, *E.State, AdapterHash);
+      });
   const bool HeldNowhere =
-      std::none_of(Order.begin(), Order.end(), [&](const auto &Item) {
-        const auto It = States.find(Item.second->Id);
-        if (It == States.end() || !isUsable(Now, It->second))
-          return false;
-        const EngineState &S = It->second;
-        return contains(S.Load.Held, AdapterHash) ||
-               isComing(Now, S, AdapterHash) ||
-               contains(S.Evicted, AdapterHash);
+      !HeldNow &&
+      std::none_of(Order.begin(), Order.end(), [&](const UsableEngine &E) {
+        return contains(E.State->Evicted, AdapterHash);
       });
-  for (const auto &[Score, U] : Order) {
-    const auto It = States.find(U->Id);
-    const EngineState &State = It == States.end() ? Unknown : It->second;
-    if (!isUsable(Now, State))
-      continue;
+  for (const UsableEngine &E : Order) {
+    const EngineState &State = *E.State;
     EngineCandidate Candidate;
-    Candidate.Upstream = U;
+    Candidate.Upstream = E.Upstream;
     // The one copy that low demand needs is where the adapter was loaded.
     Candidate.IsPreferred =
         Position < PreferredCount && (HeldNowhere || PreferredCount > 1);
@@ -265,7 +222,7 @@
     if (!Candidate.HoldsAdapter && !Candidate.IsPreferred && !HeldLately &&
         !Coming && !Candidate.IsHome)
       Candidate.Cost += Opts.extraCopyCost();
-    if (U->DataCentre != Opts.dataCentre())
+    if (E.Upstream->DataCentre != Opts.dataCentre())
       Candidate.Cost += Opts.distanceCost();
     Candidate.Cost += Duration(
         static_cast<int64_t>(State.Health.failureShare(Now) *
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -5,7 +5,6 @@
 //
 //   EngineRanker R(EngineRanker::Options().setDataCentre("dc-1"));
 //   R.onLoad(Now, "id-1", Load);
-//   R.onDemand(Now, Required);
 //   auto Ranked = R.rank(Now, Required, Upstreams);     // cheapest first
 #ifndef GOLDCRESTLINK_FORWARD_ENGINE_RANKER_H
 #define GOLDCRESTLINK_FORWARD_ENGINE_RANKER_H
@@ -64,14 +63,12 @@
   bool IsHome = false;
 };
 
-/// Not thread-safe. Memory is bounded by the upstreams known and by
-/// Options::maxAdapters().
+/// Not thread-safe. Memory is bounded by the upstreams known.
 class EngineRanker {
 public:
   class Options {
   public:
     const std::string &dataCentre() const { return DataCentre; }
-    size_t maxAdapters() const { return MaxAdapters; }
     Duration loadTime() const { return LoadTime; }
     Duration preferredLoadTime() const { return PreferredLoadTime; }
     Duration distanceCost() const { return DistanceCost; }
@@ -94,7 +91,6 @@
 
   private:
     std::string DataCentre;
-    size_t MaxAdapters = 8192;
     // Expected time to load an adapter from the weight store.
     Duration LoadTime = std::chrono::milliseconds(280);
     // Cost of loading the adapter on an engine that is not a preferred one: the
@@ -134,8 +130,6 @@
 
   /// A load report of the engine arrived.
   void onLoad(Time Now, const std::string &Id, const EngineLoad &Load);
-  /// A request for the adapter arrived at this entry.
-  void onDemand(Time Now, const EngineRequirements &Required);
   /// An admission request was sent to the engine's side. Adds the prompt, and
   /// \p Interval if the engine limits its requests, to the engine's known
   /// backlog until its next load report.
@@ -152,7 +146,7 @@
   /// Another incarnation answers at the engine's address; the id is never used
   /// again.
   void onReplaced(const std::string &Id);
-  /// Sets the number of entries that share the demand, this one included.
+  /// Sets the number of entries, this one included.
   void setEntries(size_t Count) { Entries = std::max<size_t>(1, Count); }
   /// Removes upstreams that are not in \p Known.
   void retain(const std::map<std::string, UpstreamRecord> &Known);
@@ -165,8 +159,11 @@
   std::vector<EngineCandidate>
   rank(Time Now, const EngineRequirements &Required,
        std::span<const UpstreamRecord *const> ReadyUpstreams) const;
-  /// Number of engines that should hold the adapter, given its present demand.
-  size_t preferredEngines(Time Now, const EngineRequirements &Required) const;
+  /// Number of engines that should hold the adapter, given its present demand
+  /// at all engines. \p ReadyUpstreams: see rank().
+  size_t
+  preferredEngines(Time Now, const EngineRequirements &Required,
+                   std::span<const UpstreamRecord *const> ReadyUpstreams) const;
   size_t entries() const { return Entries; }
 
 private:
@@ -186,20 +183,7 @@
     // report yet, with the time of the request.
     std::vector<std::pair<uint32_t, Time>> Requested;
   };
-  // Demand for one adapter at this entry. The short-term mean shows a rise
-  // within a second; it is discounted for random fluctuation.
-  struct Demand {
-    // Prompt tokens per second, averaged over DemandSeconds.
-    double TokenRate = 0;
-    // Decayed sums of arrivals and of their prompt tokens over
-    // ShortTermSeconds.
-    double ShortTermCount = 0;
-    double ShortTermTokens = 0;
-    Time UpdatedAt{};
-  };
 
-  /// Prompt tokens per second for an adapter at this entry.
-  double tokenRate(Time Now, const std::string &Name) const;
   static bool isUsable(Time Now, const EngineState &State) {
     return State.Health.usable(Now) && (!State.Known || State.Load.Serving);
   }
@@ -210,13 +194,12 @@
   /// Cost of what the prompt would do to the streams that the engine runs.
   Duration pauseCost(const EngineState &State,
                      const EngineRequirements &Required, uint32_t Tokens) const;
-  /// Mean over the known engines, in prompt tokens per millisecond.
-  double meanPrefillRate() const;
+  /// The engine holds the adapter or isComing().
+  static bool isHeld(Time Now, const EngineState &State, uint32_t Hash);
 
   Options Opts;
   size_t Entries = 4;
   std::unordered_map<std::string, EngineState> States;
-  std::unordered_map<std::string, Demand> Demands;
 };
 
 } // namespace goldcrestlink::forward
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -211,7 +211,6 @@
       .first->second.onRequest(Now);
   if (!Call.IsEngine)
     return placeOnService(Now, Call);
-  Engines.onDemand(Now, requirementsOf(Call));
   placeOnEngine(Now, Call);
 }
 
