Give adapters that others have evicted to an engine that comes empty

Low demand has its one copy wherever an adapter is held or was held lately, and the other engine had held them all; its two slots were swept again and again while the new engine stood empty.

An engine with less than half of the mean number of adapters is now preferred for those that are first in its order and that no engine holds at the moment. Adapters that are held stay where they are, since copies would be fetched for nothing.

--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -140,6 +140,24 @@
                            Probability * State.Load.StreamsOnTime));
 }
 
+double EngineRanker::roomBelow(
+    Time Now, std::span<const UpstreamRecord *const> Upstreams) const {
+  size_t Sum = 0;
+  size_t Count = 0;
+  for (const UpstreamRecord *U : Upstreams) {
+    const auto It = States.find(U->Id);
+    if (It == States.end() || !isUsable(Now, It->second))
+      continue;
+    Sum += It->second.Load.Held.size();
+    ++Count;
+  }
+  // While few adapters are in use, all engines have room.
+  return Sum < Count || Count == 0
+             ? 0
+             : static_cast<double>(Sum) / static_cast<double>(Count) *
+                   Opts.emptyShare();
+}
+
 std::vector<EngineCandidate> EngineRanker::rank(
     Time Now, const EngineRequirements &Required,
     std::span<const UpstreamRecord *const> ReadyUpstreams) const {
@@ -175,13 +193,17 @@
       std::none_of(Order.begin(), Order.end(), [&](const UsableEngine &E) {
         return contains(E.State->Evicted, AdapterHash);
       });
+  const double RoomBelow = HeldNow ? 0 : roomBelow(Now, ReadyUpstreams);
   for (const UsableEngine &E : Order) {
     const EngineState &State = *E.State;
     EngineCandidate Candidate;
     Candidate.Upstream = E.Upstream;
-    // The one copy that low demand needs is where the adapter was loaded.
-    Candidate.IsPreferred =
-        Position < PreferredCount && (HeldNowhere || PreferredCount > 1);
+    // The one copy that low demand needs is where the adapter was loaded, or,
+    // if it has been evicted there, at an engine that has come empty.
+    const bool HasRoom =
+        static_cast<double>(State.Load.Held.size()) < RoomBelow;
+    Candidate.IsPreferred = Position < PreferredCount &&
+                            (HeldNowhere || PreferredCount > 1 || HasRoom);
     ++Position;
     Candidate.SideAnswers = Now >= State.SideBackoffUntil;
     Candidate.HoldsAdapter =
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -78,6 +78,7 @@
     Duration failureCost() const { return FailureCost; }
     Duration lateStreamCost() const { return LateStreamCost; }
     size_t homeEngines() const { return HomeEngines; }
+    double emptyShare() const { return EmptyShare; }
     double adapterUtilisationLimit() const { return AdapterUtilisationLimit; }
     Duration unresponsiveBackoff() const { return UnresponsiveBackoff; }
     Options &setDataCentre(std::string Name) {
@@ -116,6 +117,9 @@
     // Engines among which an adapter that no engine holds may be loaded, so
     // that the prompt goes where it hurts least.
     size_t HomeEngines = 3;
+    // An engine that holds less than this share of the mean number of adapters
+    // has come empty; it gets adapters of low demand that others have evicted.
+    double EmptyShare = 0.5;
     // Share of one engine's prefill time that an adapter may use before it gets
     // a further preferred engine.
     double AdapterUtilisationLimit = 0.3;
@@ -196,6 +200,10 @@
                      const EngineRequirements &Required, uint32_t Tokens) const;
   /// The engine holds the adapter or isComing().
   static bool isHeld(Time Now, const EngineState &State, uint32_t Hash);
+  /// Engines that hold fewer adapters than this have come empty, compared with
+  /// the usable ones among \p Upstreams.
+  double roomBelow(Time Now,
+                   std::span<const UpstreamRecord *const> Upstreams) const;
 
   Options Opts;
   size_t Entries = 4;
--- a/forward/testing/engine_ranker_test.cc
+++ b/forward/testing/engine_ranker_test.cc
@@ -192,3 +192,37 @@
                     Duration(0));
   CHECK(E.best(499 * 100 + 10, adapter("x499")) == "e1");
 }
+
+TEST_CASE("an engine that comes empty gets its share of the adapters that are "
+          "evicted") {
+  constexpr int Adapters = 200;
+  Engines E;
+  // Nine engines hold ten adapters each, and have held the others.
+  std::vector<std::vector<uint32_t>> Before(9);
+  for (int I = 0; I < Adapters; ++I)
+    Before[static_cast<size_t>(I) % 9].push_back(
+        adapterHash("m", "a" + std::to_string(I)));
+  for (size_t I = 0; I < 9; ++I) {
+    const std::string Id = "e" + std::to_string(I);
+    E.Ranker.onLoad(at(0), Id, Engines::load(Before[I]));
+    E.Ranker.onLoad(at(1), Id,
+                    Engines::load({Before[I].begin(), Before[I].begin() + 10}));
+  }
+  const auto PreferredOn = [&](const std::string &Id, int From, int To) {
+    int Count = 0;
+    for (int I = From; I < To; ++I)
+      for (const EngineCandidate &C :
+           E.rank(10, adapter("a" + std::to_string(I))))
+        Count += C.Upstream->Id == Id && C.IsPreferred ? 1 : 0;
+    return Count;
+  };
+  // A tenth has it first in its order.
+  CHECK(PreferredOn("e9", 90, Adapters) >= (Adapters - 90) / 20);
+  CHECK(PreferredOn("e9", 90, Adapters) <= (Adapters - 90) / 4);
+  // Not those that others hold now, which would be fetched for nothing.
+  CHECK(PreferredOn("e9", 0, 90) == 0);
+  CHECK(PreferredOn("e0", 0, Adapters) == 0);
+  // Once it has its share, adapters return to where they were.
+  E.Ranker.onLoad(at(5), "e9", Engines::load({1, 2, 3, 4, 5, 6, 7, 8}));
+  CHECK(PreferredOn("e9", 0, Adapters) == 0);
+}
