--- a/bench/fleet_experiment.cc
+++ b/bench/fleet_experiment.cc
@@ -24,6 +24,10 @@
   int64_t PauseMs = 300;
   int64_t Seconds = 30;
   uint64_t Seeds = 1;
+  bool OursOnly = false;
+  double ShiftSeconds = 1e6;
+  size_t Slots = 64;
+  size_t AdapterSlots = 21;
 };
 
 std::vector<RequestKind> kinds(const Arguments &Args) {
@@ -54,6 +58,7 @@
     K.MaxPause = std::chrono::milliseconds(Args.PauseMs);
     K.Adapters = Args.Adapters;
     K.Exponent = Args.Exponent;
+    K.ShiftAt = fromSeconds(Args.ShiftSeconds);
   }
   return Out;
 }
@@ -97,16 +102,25 @@
   App.add_option("--exponent", Args.Exponent, "of their popularity");
   App.add_option("--pause-ms", Args.PauseMs, "longest pause on time");
   App.add_option("--seconds", Args.Seconds, "length");
+  App.add_flag("--ours-only", Args.OursOnly, "without the other policy");
+  App.add_option("--shift-s", Args.ShiftSeconds,
+                 "when demand moves to other adapters");
+  App.add_option("--slots", Args.Slots, "requests an engine runs at once");
+  App.add_option("--adapter-slots", Args.AdapterSlots,
+                 "adapters an engine holds");
   App.add_option("--seeds", Args.Seeds, "number of seeds, from 1");
   CLI11_PARSE(App, Argc, Argv);
   const std::vector<RequestKind> Kinds = kinds(Args);
   for (uint64_t Seed = 1; Seed <= Args.Seeds; ++Seed)
     for (const bool Paces : {true, false}) {
+      if (!Paces && Args.OursOnly)
+        continue;
       FleetOptions O;
       O.Entries = Args.Entries;
       O.Engines = Args.Engines;
       O.Engine.TokensPerEvent = 2;
-      O.Engine.AdapterSlots = 21;
+      O.Engine.Slots = Args.Slots;
+      O.Engine.AdapterSlots = Args.AdapterSlots;
       O.Length = std::chrono::seconds(Args.Seconds);
       O.PacePrompts = Paces;
       O.Seed = Seed;
