--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -122,7 +122,7 @@
     double EmptyShare = 0.5;
     // Share of one engine's prefill time that an adapter may use before it gets
     // a further preferred engine.
-    double AdapterUtilisationLimit = 0.2;
+    double AdapterUtilisationLimit = 0.12;
     // Backoff after a side did not answer, and first backoff after an engine
     // did not accept a connection.
     Duration UnresponsiveBackoff = std::chrono::milliseconds(700);
