Let watches of upstreams end within the drain time (DRAIN)

Found by reading. A store that drops its history does not answer an open watch, so a change is seen only after the watch has ended: 0.6 s of pause and up to 2.4 s of watch, more than a drain time of 2 s, and 2 and 2.4 s of 4 s since the pause grows with the entries. Pause and watch together now stay within the drain time. While upstreams change, watches are answered at once, so there are no more calls.

Test: watch_pace_test, whose new check fails with a watch of 2 s.

--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -66,6 +66,8 @@
   };
   Upstreams.BatchDelay = watchPace(1, DrainTime).UpstreamPause;
   Store.watch(platform::kinds::Upstreams, std::move(Upstreams));
+  Store.setWatchTime(platform::kinds::Upstreams,
+                     watchPace(1, DrainTime).UpstreamRenewal);
 
   platform::WatchHandlers Releases = handlersFor(platform::kinds::Releases);
   Releases.OnList = [this](StoreRevision Revision,
@@ -101,6 +103,7 @@
 void StoreWatcher::setEntryCount(size_t Count) {
   const WatchPace Pace = watchPace(Count, DrainTime);
   Store.setBatchDelay(platform::kinds::Upstreams, Pace.UpstreamPause);
+  Store.setWatchTime(platform::kinds::Upstreams, Pace.UpstreamRenewal);
   Store.setWatchTime(platform::kinds::Config, Pace.ConfigRenewal);
   Store.setWatchTime(platform::kinds::Releases, Pace.ReleaseRenewal);
 }
--- a/daemon/testing/watch_pace_test.cc
+++ b/daemon/testing/watch_pace_test.cc
@@ -23,6 +23,9 @@
     CHECK(static_cast<double>(R.Entries) / seconds(Pace.UpstreamPause) <=
           R.Calls);
     CHECK(Pace.UpstreamPause <= DrainTime / 2);
+    // An open watch may never be answered; it waits up to a fifth longer.
+    CHECK(Pace.UpstreamPause + Pace.UpstreamRenewal * 6 / 5 < DrainTime);
+    CHECK(Pace.UpstreamRenewal >= std::chrono::milliseconds(500));
     // Renewals of all entries together.
     CHECK(static_cast<double>(R.Entries) / seconds(Pace.ConfigRenewal) > 2);
     CHECK(static_cast<double>(R.Entries) / seconds(Pace.ReleaseRenewal) >=
--- a/daemon/watch_pace.h
+++ b/daemon/watch_pace.h
@@ -20,9 +20,10 @@
   /// reports several changes: each upstream writes its record about once a
   /// second, mostly to change values that are not used here.
   Duration UpstreamPause{};
-  /// How long a watch of the configuration and of releases waits. A store that
-  /// drops its history does not answer open watches, so a change may be seen
-  /// only after a renewal.
+  /// How long a watch of upstreams waits for a change. A store that drops its
+  /// history does not answer open watches.
+  Duration UpstreamRenewal{};
+  /// The same for watches of the configuration and of releases.
   Duration ConfigRenewal{};
   Duration ReleaseRenewal{};
 };
@@ -37,12 +38,18 @@
   // force within two seconds and releases within five.
   constexpr Duration ConfigInterval = std::chrono::milliseconds(450);
   constexpr Duration ReleaseInterval = std::chrono::milliseconds(1000);
+  constexpr Duration MinRenewal = std::chrono::milliseconds(100);
+  // Longer watches save few calls, since upstreams change all the time.
+  constexpr Duration MaxUpstreamRenewal = std::chrono::seconds(2);
   const auto Count = static_cast<int64_t>(std::max<size_t>(1, Entries));
   WatchPace Out;
   // Half of the drain time is left for a slow answer and for the messages.
   Out.UpstreamPause =
       std::max(SharedPause,
                std::min(SharedPause * Count / SharingEntries, DrainTime / 2));
+  // Watches wait up to a fifth longer; the rest is for the answer.
+  Out.UpstreamRenewal = std::clamp((DrainTime - Out.UpstreamPause) * 2 / 3,
+                                   MinRenewal, MaxUpstreamRenewal);
   Out.ConfigRenewal = ConfigInterval * Count;
   Out.ReleaseRenewal = ReleaseInterval * Count;
   return Out;
