Forget the demand that a side has not confirmed for five seconds

Found by reading. What a side had reported last counted until its engine left: after a side was lost or cut off in a burst, entries went on wanting the copies of that moment, and asked for prefetches of them, for as long as the engine served.

Test: parts_test, the last check of each row; it fails without the change where a row has demand.

--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -19,6 +19,9 @@
 constexpr size_t MaxEvictedKnown = 64;
 // A side reports a load that an entry has caused within this time.
 constexpr Duration RequestedExpiry = std::chrono::milliseconds(300);
+// Demand that a side has not confirmed for this long has ceased or is not
+// known: sides report again whenever their load changes.
+constexpr Duration DemandExpiry = std::chrono::seconds(5);
 // Time to load an adapter from the engine's own memory.
 constexpr Duration ReloadTime = std::chrono::milliseconds(30);
 
@@ -42,6 +45,7 @@
   State.Load = Load;
   dropExpired(Now, State);
   State.Known = true;
+  State.LoadedAt = Now;
   for (size_t Row = 0; Row < BacklogRanks; ++Row)
     State.BacklogEnd[Row] = Now + Load.Backlog[Row];
   State.SideBackoffUntil = Time{};
@@ -99,7 +103,8 @@
   double Percent = 0;
   for (const UpstreamRecord *U : ReadyUpstreams) {
     const auto It = States.find(U->Id);
-    if (It == States.end() || !isUsable(Now, It->second))
+    if (It == States.end() || !isUsable(Now, It->second) ||
+        Now - It->second.LoadedAt > DemandExpiry)
       continue;
     for (const AdapterShare &S : It->second.Load.Demand)
       Percent += S.Adapter == Hash ? S.Percent : 0;
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -173,8 +173,9 @@
 private:
   struct EngineState {
     EngineLoad Load;
-    // A load report has arrived.
+    // A load report has arrived, the last one at LoadedAt.
     bool Known = false;
+    Time LoadedAt{};
     // By backlog rank: when the engine is expected to finish the prefill of all
     // prompts known to be queued there at this rank or a more urgent one.
     std::array<Time, BacklogRanks> BacklogEnd{};
--- a/forward/testing/parts_test.cc
+++ b/forward/testing/parts_test.cc
@@ -147,6 +147,8 @@
     }
     CHECK(Ranker.preferredEngines(at(0), Required, All) == R.Preferred);
     CHECK(Ranker.preferredEngines(at(0), {"m", "", 0, 600}, All) == 0);
+    // The sides are silent: what they reported last is no demand of now.
+    CHECK(Ranker.preferredEngines(at(6000), Required, All) == 1);
   }
 }
 
