Bound the demand that sides count and report

Found by reading. A side visited up to 1,024 adapters, also ones that nobody had asked for in a long time, for each load that it composed, up to 100 times a second; those idle for ten seconds are forgotten now once a second. A share had no upper bound, and neither had what an entry decoded, so that one message could make every engine a preferred one: both are bounded.

Tests: adapter_demand_test, 'the memory for demand is bounded' (fails without) and 'a share has an upper bound' (fails without).

--- a/admission/adapter_demand.cc
+++ b/admission/adapter_demand.cc
@@ -1,6 +1,7 @@
 // Two exponential means: a slow one, and a fast one that is discounted for as
-// many requests as random fluctuation brings. A request costs constant time,
-// the list of shares a visit of each adapter asked for lately.
+// many requests as random fluctuation brings. The list of shares costs a visit
+// of each adapter asked for lately, as does one request a second, which forgets
+// the others; other requests cost constant time.
 #include "admission/adapter_demand.h"
 
 #include <algorithm>
@@ -17,10 +18,11 @@
 // Prompt tokens counted per request at most: a single large prompt does not
 // show lasting demand.
 constexpr uint32_t MaxTokens = 1500;
-// An adapter that was not asked for during this time is forgotten when there is
-// no room.
+// An adapter that was not asked for during this time is forgotten; two means
+// have passed.
 constexpr Duration IdleTime = std::chrono::seconds(10);
-// A clear rise, about a further copy's worth.
+constexpr Duration PruneInterval = std::chrono::seconds(1);
+// A rise of more than this is worth a report ahead of its time.
 constexpr uint32_t ClearRisePercent = 25;
 
 double decay(Duration Age, double TimeConstant) {
@@ -30,10 +32,12 @@
 
 void AdapterDemand::onRequest(Time Now, uint32_t Adapter,
                               uint32_t PromptTokens) {
-  if (Adapters.size() >= MaxAdapters)
+  if (Now - PrunedAt >= PruneInterval) {
+    PrunedAt = Now;
     std::erase_if(Adapters, [&](const auto &Item) {
       return Now - Item.second.UpdatedAt > IdleTime;
     });
+  }
   if (Adapters.size() >= MaxAdapters && !Adapters.contains(Adapter))
     return;
   Entry &E = Adapters[Adapter];
@@ -64,7 +68,8 @@
   std::vector<AdapterShare> Out;
   for (const auto &[Adapter, E] : Adapters) {
     const double Percent = rateOf(Now, E) / (PrefillRate * 1000) * 100;
-    const auto Steps = static_cast<uint32_t>(Percent / StepPercent);
+    const auto Steps = static_cast<uint32_t>(
+        std::min<double>(Percent, MaxPercent) / StepPercent);
     if (Steps > 0)
       Out.push_back({Adapter, Steps * StepPercent});
   }
--- a/admission/adapter_demand.h
+++ b/admission/adapter_demand.h
@@ -34,6 +34,8 @@
 public:
   static constexpr uint32_t StepPercent = 5;
   static constexpr size_t MaxAdapters = 1024;
+  /// A greater share is reported as this one.
+  static constexpr uint32_t MaxPercent = 1000;
 
   // Commands.
 
@@ -45,6 +47,8 @@
   /// Prompt tokens per second: the mean over some seconds, or a rise within the
   /// last second, if that is more and too much to be random.
   double tokensPerSecond(Time Now, uint32_t Adapter) const;
+  /// Number of adapters that are remembered.
+  size_t size() const { return Adapters.size(); }
   /// The adapters of at least StepPercent, in ascending order of their hashes.
   /// \p PrefillRate: of the engine, in tokens per millisecond.
   std::vector<AdapterShare> shares(Time Now, double PrefillRate) const;
@@ -62,6 +66,7 @@
   static double rateOf(Time Now, const Entry &E);
 
   std::unordered_map<uint32_t, Entry> Adapters;
+  Time PrunedAt{};
 };
 
 /// Whether the demand for an adapter has risen by more than fluctuation from
--- a/admission/testing/adapter_demand_test.cc
+++ b/admission/testing/adapter_demand_test.cc
@@ -79,4 +79,17 @@
   }
   CHECK(Demand.tokensPerSecond(at(20000), 1000000) > 1000);
   CHECK(Demand.tokensPerSecond(at(20000), 2) == 0);
+  CHECK(Demand.size() <= AdapterDemand::MaxAdapters);
+  // Those that nobody has asked for lately are forgotten.
+  Demand.onRequest(at(60000), 1, 640);
+  CHECK(Demand.size() == 1);
+}
+
+TEST_CASE("a share has an upper bound") {
+  AdapterDemand Demand;
+  for (int I = 0; I < 5000; ++I)
+    Demand.onRequest(at(0), 1, 1500);
+  REQUIRE(Demand.shares(at(0), PrefillRate).size() == 1);
+  CHECK(Demand.shares(at(0), PrefillRate)[0].Percent ==
+        AdapterDemand::MaxPercent);
 }
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -159,10 +159,13 @@
   Load.RequestLimit = static_cast<double>(Message.limit_per_1000_s()) / 1000;
   Load.Held.assign(Message.held().begin(), Message.held().end());
   Load.Incoming.assign(Message.incoming().begin(), Message.incoming().end());
-  for (int I = 0;
-       I < std::min(Message.demanded_size(), Message.demand_percent_size());
-       ++I)
-    Load.Demand.push_back({Message.demanded(I), Message.demand_percent(I)});
+  const int Demands =
+      std::min({Message.demanded_size(), Message.demand_percent_size(),
+                static_cast<int>(AdapterDemand::MaxAdapters)});
+  for (int I = 0; I < Demands; ++I)
+    Load.Demand.push_back(
+        {Message.demanded(I),
+         std::min(Message.demand_percent(I), AdapterDemand::MaxPercent)});
   return Load;
 }
 
