--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -329,6 +329,60 @@
   CHECK(E.Machine.callsInProgress() == 0);
 }
 
+TEST_CASE("an engine that answers nothing until callers leave is avoided") {
+  Entry E;
+  const auto Holds = [&](int64_t Ms, const char *Id) {
+    EngineLoad L;
+    L.Serving = true;
+    L.Held = {adapterHash("m", "a1")};
+    E.Machine.onLoad(at(Ms), Id, L);
+  };
+  constexpr int64_t StepMs = 50;
+  constexpr int64_t PatienceMs = 4800;
+  constexpr int64_t EndMs = 10000;
+  int SentThere = 0;
+  int Sent = 0;
+  for (int64_t Ms = StepMs; Ms <= EndMs; Ms += StepMs) {
+    E.Machine.onTimer(at(Ms));
+    Holds(Ms, "e1");
+    if (Ms > PatienceMs)
+      E.Machine.onCallerGone(at(Ms), static_cast<uint64_t>(Ms - PatienceMs));
+    E.Machine.onCall(at(Ms), static_cast<uint64_t>(Ms),
+                     Entry::incoming("/stream/x"));
+    E.replyAdmission(Ms);
+    const std::string To = E.Port.Sends.back().SendOpts.To.Id;
+    if (To != "e1") {
+      Holds(Ms, To.c_str());
+      E.answer(Ms, Entry::head(200), "id: 1\n\n");
+    }
+    // The first calls show that the engine is silent.
+    if (Ms <= EndMs / 4)
+      continue;
+    ++Sent;
+    SentThere += To == "e1" ? 1 : 0;
+  }
+  CHECK(Sent == 150);
+  CHECK(SentThere < Sent / 10);
+}
+
+TEST_CASE("a caller that leaves does not end the backoff of an engine") {
+  Entry E;
+  EngineLoad L;
+  L.Serving = true;
+  L.Held = {adapterHash("m", "a1")};
+  E.Machine.onLoad(at(0), "e1", L);
+  E.call("/stream/x");
+  E.replyAdmission(2);
+  E.call("/stream/x", 10000, {}, 2);
+  E.replyAdmission(3);
+  REQUIRE(E.Port.Sends.back().SendOpts.To.Id == "e1");
+  E.failSend(4, SendError::NotSent);
+  E.Machine.onCallerGone(at(5), 1);
+  // The load requested for call 2 is no longer expected, the backoff not over.
+  E.Machine.onCall(at(400), 3, Entry::incoming("/stream/x"));
+  CHECK(E.Port.Admissions.back().Upstream != "e1");
+}
+
 TEST_CASE(
     "calls beyond the limits that all upstreams name are rejected at once") {
   Entry E;
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -5,6 +5,10 @@
 #include <atomic>
 #include <thread>
 
+#include <linux/filter.h>
+#include <poll.h>
+#include <sys/socket.h>
+
 #include <boost/asio/buffers_iterator.hpp>
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
@@ -23,19 +27,56 @@
 
 namespace {
 
+// Larger than any packet without data, in bytes.
+constexpr uint32_t MaxBarePacket = 60;
+
+// The kernel drops packets of more than \p Size bytes that arrive for the
+// socket, as a link that loses them would. A socket that accepts passes this
+// on.
+void dropPacketsAbove(int Socket, uint32_t Size) {
+  sock_filter Code[] = {{BPF_LD | BPF_W | BPF_LEN, 0, 0, 0},
+                        {BPF_JMP | BPF_JGT | BPF_K, 0, 1, Size},
+                        {BPF_RET | BPF_K, 0, 0, 0},
+                        {BPF_RET | BPF_K, 0, 0, UINT32_MAX}};
+  const sock_fprog Program = {std::size(Code), Code};
+  REQUIRE(setsockopt(Socket, SOL_SOCKET, SO_ATTACH_FILTER, &Program,
+                     sizeof(Program)) == 0);
+}
+
+void deliverPackets(int Socket) {
+  const int Unused = 0;
+  REQUIRE(setsockopt(Socket, SOL_SOCKET, SO_DETACH_FILTER, &Unused,
+                     sizeof(Unused)) == 0);
+}
+
+enum class Arrival { Nothing, Data, Close };
+
+// What arrives at the socket next, within \p Wait.
+Arrival nextArrival(int Socket, std::chrono::milliseconds Wait) {
+  pollfd Watched = {Socket, POLLIN, 0};
+  if (poll(&Watched, 1, static_cast<int>(Wait.count())) <= 0)
+    return Arrival::Nothing;
+  char Byte;
+  return recv(Socket, &Byte, 1, MSG_DONTWAIT) > 0 ? Arrival::Data
+                                                  : Arrival::Close;
+}
+
 // A raw TCP server that accepts one connection and runs a script on it, on its
 // own thread.
 class Peer {
 public:
-  explicit Peer(std::function<void(Tcp::socket &)> Script)
-      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}),
-        Thread([this, Script = std::move(Script)] {
-          Tcp::socket Socket(Io);
-          boost::system::error_code Error;
-          Acceptor.accept(Socket, Error);
-          if (!Error)
-            Script(Socket);
-        }) {}
+  explicit Peer(std::function<void(Tcp::socket &)> Script,
+                uint32_t MaxPacket = UINT32_MAX)
+      : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    dropPacketsAbove(Acceptor.native_handle(), MaxPacket);
+    Thread = std::thread([this, Script = std::move(Script)] {
+      Tcp::socket Socket(Io);
+      boost::system::error_code Error;
+      Acceptor.accept(Socket, Error);
+      if (!Error)
+        Script(Socket);
+    });
+  }
   ~Peer() { Thread.join(); }
   http::Endpoint endpoint() const {
     return {"127.0.0.1", Acceptor.local_endpoint().port()};
@@ -141,6 +182,56 @@
   CHECK(Seen == asio::error::connection_reset);
 }
 
+TEST_CASE("the close of a cancelled call reaches its peer after packets were "
+          "lost") {
+  std::atomic<bool> Lossy = false;
+  Arrival Seen = Arrival::Nothing;
+  {
+    Peer P([&](Tcp::socket &Socket) {
+      readHead(Socket);
+      // Longer than the peer's kernel waits with an acknowledgement.
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      dropPacketsAbove(Socket.native_handle(), 0);
+      Lossy = true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(300));
+      deliverPackets(Socket.native_handle());
+      Seen = nextArrival(Socket.native_handle(), std::chrono::seconds(5));
+    });
+    asio::io_context Io;
+    http::Client Client(Io);
+    const auto Call = Client.start(P.endpoint(), http::Request(),
+                                   http::CallOptions(), http::CallHandlers());
+    while (!Lossy)
+      Io.run_for(std::chrono::milliseconds(1));
+    Call->cancel();
+  }
+  CHECK(Seen == Arrival::Close);
+}
+
+TEST_CASE("the request of a cancelled call does not arrive later") {
+  std::atomic<bool> Accepted = false;
+  Arrival Seen = Arrival::Nothing;
+  {
+    Peer P(
+        [&](Tcp::socket &Socket) {
+          Accepted = true;
+          std::this_thread::sleep_for(std::chrono::milliseconds(300));
+          deliverPackets(Socket.native_handle());
+          Seen = nextArrival(Socket.native_handle(), std::chrono::seconds(2));
+        },
+        MaxBarePacket);
+    asio::io_context Io;
+    http::Client Client(Io);
+    const auto Call = Client.start(P.endpoint(), http::Request(),
+                                   http::CallOptions(), http::CallHandlers());
+    while (!Accepted)
+      Io.run_for(std::chrono::milliseconds(1));
+    Io.run_for(std::chrono::milliseconds(100));
+    Call->cancel();
+  }
+  CHECK(Seen != Arrival::Data);
+}
+
 TEST_CASE(
     "a response that arrives before the request body is read is accepted") {
   Peer P([&](Tcp::socket &Socket) {
