--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -229,6 +229,9 @@
     uint64_t Version = 0;
     std::set<std::string> TriedUpstreams;
     Time SentAt{};
+    // When the upstream last sent a part of its answer to the present send; at
+    // first when the call was sent.
+    Time HeardAt{};
     Time FirstByteAt{};
     AnswerHead Head;
     bool HasHead = false;
@@ -408,6 +411,9 @@
   /// What crashes of \p Call are attributed to: its content as the hash that
   /// identifies repeats, and its shared prompt parts.
   std::string describeContent(const ActiveCall &Call) const;
+  /// How long the upstream of the last send had been silent, for the end line;
+  /// empty for calls that were not sent.
+  static std::string describeSilence(Time Now, const ActiveCall &Call);
   /// The longest pause of a stream, for its end line; empty for other calls.
   std::string describePause(Time Now, const ActiveCall &Call) const;
 
--- a/forward/forwarder_log.cc
+++ b/forward/forwarder_log.cc
@@ -64,6 +64,13 @@
   return Out;
 }
 
+std::string Forwarder::describeSilence(Time Now, const ActiveCall &Call) {
+  return Call.Sends == 0
+             ? std::string()
+             : " silent_ms=" +
+                   std::to_string((Now - Call.HeardAt).count() / 1000);
+}
+
 std::string Forwarder::describePause(Time Now, const ActiveCall &Call) const {
   if (!Call.Streaming)
     return {};
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -44,6 +44,7 @@
   Call.StageUntil = Call.Deadline;
   Call.Version = Version;
   Call.SentAt = Now;
+  Call.HeardAt = Now;
   Call.FirstByteAt = Time{};
   Call.HasHead = false;
   Call.HasOutput = false;
@@ -98,6 +99,7 @@
   ActiveCall *Call = find(Send);
   if (!Call)
     return;
+  Call->HeardAt = Now;
   noteNotice(Now, *Call, Head.Notice);
   if (Head.OtherRequest || Head.Encoded ||
       (isSuccess(Head.Status) && !Head.Signed)) {
@@ -131,6 +133,7 @@
   ActiveCall *Call = find(Send);
   if (!Call || !Call->HasHead)
     return;
+  Call->HeardAt = Now;
   if (Call->FirstByteAt == Time{})
     Call->FirstByteAt = Now;
   const bool Stream = isSuccess(Call->Head.Status) && Call->Head.EventStream;
@@ -375,7 +378,7 @@
                              : (Call.FirstByteAt - Call.Arrived).count() /
                                    1000) +
           " total_ms=" + std::to_string((Now - Call.Arrived).count() / 1000) +
-          describePause(Now, Call));
+          describeSilence(Now, Call) + describePause(Now, Call));
   Port.record(Call.Rank, Outcome,
               Call.FirstByteAt == Time{} ? Duration(0)
                                          : Call.FirstByteAt - Call.Arrived,
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -329,6 +329,18 @@
   CHECK(E.Machine.callsInProgress() == 0);
 }
 
+TEST_CASE("the end line says how long the upstream has been silent") {
+  Entry E;
+  E.call("/stream/x");
+  E.replyAdmission(2);
+  const SendId Sent = E.Port.Sends.back().Id;
+  E.Machine.onHead(at(10), Sent, Entry::head(200));
+  E.Machine.onData(at(20), Sent, "id: 1\n\n");
+  E.Machine.onCallerGone(at(500), 1);
+  CHECK(E.Port.LastLine.find(" outcome=caller_left ") != std::string::npos);
+  CHECK(E.Port.LastLine.find(" silent_ms=480") != std::string::npos);
+}
+
 TEST_CASE("an engine that answers nothing until callers leave is avoided") {
   Entry E;
   const auto Holds = [&](int64_t Ms, const char *Id) {
