A call that its caller gives up says nothing of its upstream

Callers saw: an engine that answers nothing went on getting calls, and one in backoff after refused connections got calls again. Cause: a call whose caller leaves counted as answered well, which lowered the share of failures and ended the backoff. Now such a call counts as unknown unless the upstream has sent something; so do calls that are ended by a verdict. Services that are not engines share the change.

The test "a caller that leaves does not end the backoff of an engine" failed before.

--- a/forward/engine_ranker.cc
+++ b/forward/engine_ranker.cc
@@ -69,8 +69,9 @@
         std::max(State.BacklogEnd[Row], Now) + PrefillTime + Interval;
 }
 
-void EngineRanker::onOutcome(Time Now, const std::string &Id, bool Failed) {
-  States[Id].Health.onOutcome(Now, Failed);
+void EngineRanker::onOutcome(Time Now, const std::string &Id,
+                             CallOutcome Outcome) {
+  States[Id].Health.onOutcome(Now, Outcome);
 }
 
 void EngineRanker::onSideSilent(Time Now, const std::string &Id) {
--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -140,7 +140,7 @@
   void onSent(Time Now, const std::string &Id,
               const EngineRequirements &Required, Duration Interval);
   /// A call that was sent to the engine has ended.
-  void onOutcome(Time Now, const std::string &Id, bool Failed);
+  void onOutcome(Time Now, const std::string &Id, CallOutcome Outcome);
   /// The side beside the engine did not answer in time.
   void onSideSilent(Time Now, const std::string &Id);
   /// The side beside the engine answered.
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -222,7 +222,7 @@
   if (Call.CurrentStage == Stage::Sent ||
       Call.CurrentStage == Stage::Streaming) {
     Port.cancelSend({Call.Id, Call.Sends});
-    finishSend(Now, Call, false);
+    finishSend(Now, Call, outcomeWhenGivenUp(Call));
   } else {
     endAdmission(Call);
   }
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -363,7 +363,10 @@
   bool isBrokenOff(const ActiveCall &Call) const;
   /// Learns the limit that an answer names or no longer names.
   void noteLimit(Time Now, const ActiveCall &Call);
-  void finishSend(Time Now, ActiveCall &Call, bool Failed);
+  void finishSend(Time Now, ActiveCall &Call, CallOutcome Outcome);
+  /// What a call that has begun to be answered or not, and is given up, says of
+  /// its upstream.
+  static CallOutcome outcomeWhenGivenUp(const ActiveCall &Call);
   void onNotRun(Time Now, ActiveCall &Call);
   void onBroken(Time Now, ActiveCall &Call, EndReason Why);
   void onComplete(Time Now, ActiveCall &Call);
--- a/forward/forwarder_crashes.cc
+++ b/forward/forwarder_crashes.cc
@@ -167,7 +167,7 @@
       // The upstream may have begun to run it, but has not crashed on it yet.
       Call.MayHaveRun = true;
       Port.cancelSend({Call.Id, Call.Sends});
-      finishSend(Now, Call, false);
+      finishSend(Now, Call, CallOutcome::Unknown);
     } else {
       endAdmission(Call);
     }
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -87,12 +87,16 @@
                                                            : &It->second;
 }
 
-void Forwarder::finishSend(Time Now, ActiveCall &Call, bool Failed) {
+void Forwarder::finishSend(Time Now, ActiveCall &Call, CallOutcome Outcome) {
   endAdmission(Call);
-  if (Call.IsEngine)
-    Engines.onOutcome(Now, Call.Upstream.Id, Failed);
-  else
-    Balancer.onEnded(Now, Call.Upstream.Id, Failed);
+  if (!Call.IsEngine)
+    return Balancer.onEnded(Now, Call.Upstream.Id, Outcome);
+  Engines.onOutcome(Now, Call.Upstream.Id, Outcome);
+}
+
+CallOutcome Forwarder::outcomeWhenGivenUp(const ActiveCall &Call) {
+  return Call.FirstByteAt == Time{} ? CallOutcome::Unknown
+                                    : CallOutcome::Answered;
 }
 
 void Forwarder::onHead(Time Now, SendId Send, AnswerHead Head) {
@@ -105,7 +109,7 @@
       (isSuccess(Head.Status) && !Head.Signed)) {
     Port.cancelSend(Send);
     Call->MayHaveRun = true;
-    finishSend(Now, *Call, true);
+    finishSend(Now, *Call, CallOutcome::Failed);
     return onBroken(Now, *Call, EndReason::BadAnswer);
   }
   Call->Head = std::move(Head);
@@ -142,13 +146,13 @@
     if (fitsBuffers(*Call))
       return;
     Port.cancelSend(Send);
-    finishSend(Now, *Call, true);
+    finishSend(Now, *Call, CallOutcome::Failed);
     return onBroken(Now, *Call, EndReason::BadAnswer);
   }
   std::string Complete = Call->Position.feed(Part);
   if (Call->Position.pending() > Opts.maxEventBytes()) {
     Port.cancelSend(Send);
-    finishSend(Now, *Call, true);
+    finishSend(Now, *Call, CallOutcome::Failed);
     return onBroken(Now, *Call, EndReason::BadAnswer);
   }
   if (!Complete.empty()) {
@@ -199,7 +203,7 @@
       Engines.onReplaced(Call->Upstream.Id);
       Balancer.onReplaced(Call->Upstream.Id);
     }
-    finishSend(Now, *Call, true);
+    finishSend(Now, *Call, CallOutcome::Failed);
     return onNotRun(Now, *Call);
   }
   onComplete(Now, *Call);
@@ -210,7 +214,8 @@
   // An unsigned failure may come from something else at the address.
   if (Call.Head.Signed)
     noteOutput(Now, Call);
-  finishSend(Now, Call, Status >= 500);
+  finishSend(Now, Call,
+             Status >= 500 ? CallOutcome::Failed : CallOutcome::Answered);
   const std::string Service = Call.Service;
   const bool IsPlain = !Call.IsEngine;
   if (isSuccess(Status) && Call.Head.EventStream) {
@@ -259,7 +264,7 @@
                " sent=" + (Error == SendError::NotSent ? "no" : "maybe") +
                " output=" + (Call->HasOutput ? "yes" : "no") + " why=\"" +
                std::string(Why) + "\"" + describeContent(*Call));
-  finishSend(Now, *Call, true);
+  finishSend(Now, *Call, CallOutcome::Failed);
   if (Error == SendError::NotSent) {
     if (Call->IsEngine)
       Engines.onUnreachable(Now, Call->Upstream.Id);
@@ -420,7 +425,8 @@
       // The upstream may have run the request even if no answer arrived.
       Call.MayHaveRun = true;
       Port.cancelSend({Call.Id, Call.Sends});
-      finishSend(Now, Call, !Call.HasHead);
+      finishSend(Now, Call,
+                 Call.HasHead ? outcomeWhenGivenUp(Call) : CallOutcome::Failed);
     } else {
       endAdmission(Call);
     }
--- a/forward/service_balancer.cc
+++ b/forward/service_balancer.cc
@@ -11,11 +11,12 @@
   ++States[Id].Outstanding;
 }
 
-void ServiceBalancer::onEnded(Time Now, const std::string &Id, bool Failed) {
+void ServiceBalancer::onEnded(Time Now, const std::string &Id,
+                              CallOutcome Outcome) {
   UpstreamState &State = States[Id];
   if (State.Outstanding > 0)
     --State.Outstanding;
-  State.Health.onOutcome(Now, Failed);
+  State.Health.onOutcome(Now, Outcome);
 }
 
 void ServiceBalancer::onUnreachable(Time Now, const std::string &Id) {
--- a/forward/service_balancer.h
+++ b/forward/service_balancer.h
@@ -4,7 +4,7 @@
 //
 //   ServiceBalancer B(ServiceBalancer::Options().setDataCentre("dc-1"));
 //   const UpstreamRecord *U = B.choose(Now, Upstreams, Excluded);
-//   B.onSent(U->Id);  ...  B.onEnded(Now, U->Id, Failed);
+//   B.onSent(U->Id);  ...  B.onEnded(Now, U->Id, Outcome);
 #ifndef GOLDCRESTLINK_FORWARD_SERVICE_BALANCER_H
 #define GOLDCRESTLINK_FORWARD_SERVICE_BALANCER_H
 
@@ -52,9 +52,9 @@
   // Commands.
 
   void onSent(const std::string &Id);
-  /// A call ended. \p Failed is true if the connection broke, the upstream
+  /// A call ended. It has failed if the connection broke, the upstream
   /// rejected the call, or it answered with a failure of its own.
-  void onEnded(Time Now, const std::string &Id, bool Failed);
+  void onEnded(Time Now, const std::string &Id, CallOutcome Outcome);
   /// The upstream refused a connection or did not accept it in time.
   void onUnreachable(Time Now, const std::string &Id);
   /// Another incarnation answers at the upstream's address.
--- a/forward/testing/parts_test.cc
+++ b/forward/testing/parts_test.cc
@@ -169,7 +169,7 @@
   // Two upstreams with 6 slots and 2.5 calls per slot, shared by three entries.
   CHECK(Sent == 10);
   CHECK(PerUpstream["a"] == PerUpstream["b"]);
-  Balancer.onEnded(at(1), "b", false);
+  Balancer.onEnded(at(1), "b", CallOutcome::Answered);
   CHECK(Balancer.choose(at(1), Both, {})->Id == "b");
   CHECK(Balancer.choose(at(1), Both, {"b"}) == nullptr);
   Balancer.onUnreachable(at(1), "b");
--- a/forward/upstream_health.cc
+++ b/forward/upstream_health.cc
@@ -21,7 +21,10 @@
          std::exp(-seconds(Now - FailuresUpdated) / FailureDecaySeconds);
 }
 
-void UpstreamHealth::onOutcome(Time Now, bool Failed) {
+void UpstreamHealth::onOutcome(Time Now, CallOutcome Outcome) {
+  if (Outcome == CallOutcome::Unknown)
+    return;
+  const bool Failed = Outcome == CallOutcome::Failed;
   Failures =
       failureShare(Now) * (1 - OutcomeWeight) + (Failed ? OutcomeWeight : 0);
   FailuresUpdated = Now;
--- a/forward/upstream_health.h
+++ b/forward/upstream_health.h
@@ -2,7 +2,7 @@
 // calls that failed, and whether the upstream accepts connections.
 //
 //   UpstreamHealth H;
-//   H.onOutcome(Now, Failed);
+//   H.onOutcome(Now, CallOutcome::Failed);
 //   H.onUnreachable(Now, Backoff);
 //   if (H.usable(Now)) Cost += H.failureShare(Now) * FailureCost;
 #ifndef GOLDCRESTLINK_FORWARD_UPSTREAM_HEALTH_H
@@ -12,12 +12,21 @@
 
 namespace goldcrestlink::forward {
 
+/// What a call says of the upstream that it was sent to.
+enum class CallOutcome {
+  Answered,
+  /// The upstream failed, refused the call or did not answer in time.
+  Failed,
+  /// The call was given up for reasons of its caller.
+  Unknown
+};
+
 /// Not thread-safe.
 class UpstreamHealth {
 public:
   // Commands.
 
-  void onOutcome(Time Now, bool Failed);
+  void onOutcome(Time Now, CallOutcome Outcome);
   /// The upstream refused a connection or did not accept it in time. It is not
   /// used for \p Backoff; each consecutive failure doubles the time, up to
   /// eight times \p Backoff.
