Count an engine that is silent for a call's objective as failing it

Callers saw: of seven engines that hang, each went on getting two to five requests a second for eight seconds in the incident, and their callers waited 4.8 s in vain; when a machine of such an engine then stood still, these were the runs that went on for callers that had left. Cause: a call counts only when it ends, so an engine that hangs is known to fail after the patience of its callers. Now a call counts as failed once the engine has sent nothing of it for the route's objective (line upstream_silent); once per send, and not for time in which the entry itself stood still.

--- a/forward/engine_ranker.h
+++ b/forward/engine_ranker.h
@@ -139,7 +139,8 @@
   /// backlog until its next load report.
   void onSent(Time Now, const std::string &Id,
               const EngineRequirements &Required, Duration Interval);
-  /// A call that was sent to the engine has ended.
+  /// A call that was sent to the engine has ended, or counts as failed because
+  /// the engine has been silent for too long.
   void onOutcome(Time Now, const std::string &Id, CallOutcome Outcome);
   /// The side beside the engine did not answer in time.
   void onSideSilent(Time Now, const std::string &Id);
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -127,7 +127,7 @@
   /// The catalog has all changes of the upstreams before \p AsOf.
   void onCurrentCatalog(Time AsOf) { Versions.onCurrent(AsOf); }
   /// The process stood still until \p Now.
-  void onStall(Time Now) { Versions.onStall(Now); }
+  void onStall(Time Now);
   /// A side has sent all that it knows of crashes and of upstreams that leave.
   void onSideState(Time Now) {
     Gate.onSideState();
@@ -230,8 +230,11 @@
     std::set<std::string> TriedUpstreams;
     Time SentAt{};
     // When the upstream last sent a part of its answer to the present send; at
-    // first when the call was sent.
+    // first when the call was sent. Not before the end of this process's last
+    // stall, since it hears nothing in one.
     Time HeardAt{};
+    // The silence of the upstream of the present send counts as a failure.
+    bool SilenceNoted = false;
     Time FirstByteAt{};
     AnswerHead Head;
     bool HasHead = false;
@@ -367,6 +370,9 @@
   /// What a call that has begun to be answered or not, and is given up, says of
   /// its upstream.
   static CallOutcome outcomeWhenGivenUp(const ActiveCall &Call);
+  /// Counts a call as failed at its engine that has sent nothing for the
+  /// route's objective. Otherwise looks again when that will be the case.
+  void checkSilence(Time Now, ActiveCall &Call);
   void onNotRun(Time Now, ActiveCall &Call);
   void onBroken(Time Now, ActiveCall &Call, EndReason Why);
   void onComplete(Time Now, ActiveCall &Call);
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -41,10 +41,10 @@
     return fail(Now, Call, EndReason::TimedOut);
   }
   Call.CurrentStage = Stage::Sent;
-  Call.StageUntil = Call.Deadline;
   Call.Version = Version;
   Call.SentAt = Now;
   Call.HeardAt = Now;
+  Call.SilenceNoted = false;
   Call.FirstByteAt = Time{};
   Call.HasHead = false;
   Call.HasOutput = false;
@@ -73,6 +73,7 @@
                     ? ""
                     : " after_event=" + SendOpts.AfterEvent) +
                describeContent(Call));
+  checkSilence(Now, Call);
   Port.send({Call.Id, Call.Sends}, Call.Request, SendOpts);
 }
 
@@ -91,12 +92,35 @@
   endAdmission(Call);
   if (!Call.IsEngine)
     return Balancer.onEnded(Now, Call.Upstream.Id, Outcome);
-  Engines.onOutcome(Now, Call.Upstream.Id, Outcome);
+  if (Outcome != CallOutcome::Failed || !Call.SilenceNoted)
+    Engines.onOutcome(Now, Call.Upstream.Id, Outcome);
+}
+
+void Forwarder::onStall(Time Now) {
+  Versions.onStall(Now);
+  for (auto &[Id, Call] : Calls)
+    Call.HeardAt = Now;
 }
 
 CallOutcome Forwarder::outcomeWhenGivenUp(const ActiveCall &Call) {
-  return Call.FirstByteAt == Time{} ? CallOutcome::Unknown
-                                    : CallOutcome::Answered;
+  return Call.FirstByteAt == Time{} || Call.SilenceNoted
+             ? CallOutcome::Unknown
+             : CallOutcome::Answered;
+}
+
+void Forwarder::checkSilence(Time Now, ActiveCall &Call) {
+  if (!Call.IsEngine || Call.SilenceNoted || Call.Objective <= Duration(0))
+    return;
+  const Time SilentAt = Call.HeardAt + Call.Objective;
+  if (Now < SilentAt) {
+    Call.StageUntil = SilentAt;
+    return schedule(SilentAt, Call.Id);
+  }
+  Call.SilenceNoted = true;
+  Port.log(LogClass::Kept, "upstream_silent " + describe(Call) +
+                               " send=" + std::to_string(Call.Sends) +
+                               describeSilence(Now, Call));
+  Engines.onOutcome(Now, Call.Upstream.Id, CallOutcome::Failed);
 }
 
 void Forwarder::onHead(Time Now, SendId Send, AnswerHead Head) {
@@ -465,7 +489,7 @@
     return fail(Now, Call, EndReason::Overloaded);
   case Stage::Sent:
   case Stage::Streaming:
-    return;
+    return checkSilence(Now, Call);
   }
 }
 
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -377,6 +377,21 @@
   CHECK(SentThere < Sent / 10);
 }
 
+TEST_CASE("an entry that stood still does not take its engine for silent") {
+  for (const bool StoodStill : {true, false}) {
+    CAPTURE(StoodStill);
+    Entry E;
+    E.call("/stream/x");
+    E.replyAdmission(2);
+    if (StoodStill)
+      E.Machine.onStall(at(3000));
+    E.Machine.onTimer(at(3000));
+    const bool Noted =
+        E.Port.LastLine.find("upstream_silent ") != std::string::npos;
+    CHECK(Noted == !StoodStill);
+  }
+}
+
 TEST_CASE("a caller that leaves does not end the backoff of an engine") {
   Entry E;
   EngineLoad L;
