Close abandoned calls so that the close is repeated if it is lost

What was seen: engines worked on for callers that had left after a short interruption of the link. Cause: the entry closed with one reset, so that a request that has not arrived cannot arrive later; a reset is sent once, and one that is lost is never repeated. Now a request that the peer's kernel has acknowledged is given up with an orderly close, which the kernel repeats until the peer has it; any other still with a reset. Calls that time out are closed in the same way.

Evidence: http_test "the close of a cancelled call reaches its peer after packets were lost" (a socket filter drops the peer's packets) failed before. "the request of a cancelled call does not arrive later" passes before and after, and fails if the acknowledgement is not asked for. "cancelling a call resets its connection" asked for the means; in its place "cancelling a call closes its connection, and no handler runs" asks that the peer sees the end, without and with a part of a response under way.

--- a/http/client.cc
+++ b/http/client.cc
@@ -18,7 +18,9 @@
 #include <optional>
 #include <stdexcept>
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <boost/asio/io_context.hpp>
@@ -43,6 +45,10 @@
 // Bytes of a response that fetch() collects. A page of the store's list has
 // about 1 MB.
 constexpr size_t MaxFetchBytes = 16 * 1024 * 1024;
+// Bytes received and not read yet that are discarded at once, and how often,
+// when a call is given up: up to 256 KB, more than most receive buffers hold.
+constexpr size_t DiscardBytes = 16 * 1024;
+constexpr size_t MaxDiscardReads = 16;
 // TCP keep-alive: the first probe is sent after this idle time, further ones at
 // this interval; after this many unanswered probes the connection is closed.
 constexpr int KeepAliveIdleSeconds = 1;
@@ -176,7 +182,7 @@
     if (Finished)
       return;
     Finished = true;
-    resetSocket();
+    abandon();
   }
 
   void closeWhenDone() override { CloseWhenDone = true; }
@@ -320,14 +326,47 @@
 
   void fail(CallError Kind, ErrorCode Error) {
     Finished = true;
-    resetSocket();
+    Kind == CallError::TimedOut ? abandon() : resetSocket();
     if (Handlers.OnError)
       Handlers.OnError(Kind, Error.message());
   }
 
-  // Closes with a reset, so that an abandoned request cannot reach the peer
-  // later: after an orderly close the kernel would go on resending unsent
-  // bytes, and they would arrive once an interrupted link works again.
+  // Ends the connection of a call that the peer may be working on. The kernel
+  // repeats an orderly close until the peer has it, so a peer that cannot be
+  // reached now learns of it later; a reset is sent only once. But after an
+  // orderly close the kernel would also go on resending a request that has not
+  // arrived, so that needs a reset.
+  void abandon() {
+    if (!RequestWritten || !isAcknowledged() || !discardReceived())
+      return resetSocket();
+    const int KernelDefault = 0;
+    (void)setsockopt(Stream->socket().native_handle(), IPPROTO_TCP,
+                     TCP_USER_TIMEOUT, &KernelDefault, sizeof(KernelDefault));
+    closeSocket();
+  }
+
+  // True if the peer's kernel has everything that was sent.
+  bool isAcknowledged() {
+    int Unacknowledged = 0;
+    return ioctl(Stream->socket().native_handle(), SIOCOUTQ, &Unacknowledged) ==
+               0 &&
+           Unacknowledged == 0;
+  }
+
+  // Reads what has been received, since closing a socket with unread bytes
+  // resets its connection. Returns false if there is no end to it.
+  bool discardReceived() {
+    ErrorCode Error;
+    Stream->socket().non_blocking(true, Error);
+    char Bytes[DiscardBytes];
+    for (size_t Reads = 0; Reads < MaxDiscardReads; ++Reads) {
+      Stream->socket().receive(asio::buffer(Bytes), 0, Error);
+      if (Error)
+        return true;
+    }
+    return false;
+  }
+
   void resetSocket() {
     ErrorCode Ignored;
     Stream->socket().set_option(asio::socket_base::linger(true, 0), Ignored);
--- a/http/client.h
+++ b/http/client.h
@@ -4,7 +4,7 @@
 //   http::Client C(Io);
 //   auto Call = C.start({"127.0.0.1", 8000}, Request, http::CallOptions(),
 //                       {OnHead, OnData, OnDone, OnError});
-//   Call->cancel();   // resets the connection; no handler runs afterwards
+//   Call->cancel();   // closes the connection; no handler runs afterwards
 #ifndef GOLDCRESTLINK_HTTP_CLIENT_H
 #define GOLDCRESTLINK_HTTP_CLIENT_H
 
@@ -98,8 +98,10 @@
 class Call {
 public:
   virtual ~Call() = default;
-  /// Ends the call without a callback and resets its connection. Idempotent;
-  /// no effect after the end of the call. Not thread-safe.
+  /// Ends the call without a callback and closes its connection. A request
+  /// that has not arrived does not arrive later; a peer that has it learns that
+  /// it was given up, also if packets are lost. Idempotent; no effect after the
+  /// end of the call. Not thread-safe.
   virtual void cancel() = 0;
   /// Closes the connection after the response instead of keeping it for other
   /// calls. To be called from a handler of this call. Not thread-safe.
