Sides: take a report as true that shows fewer orders than were counted

Cause: an engine answers 200 to the unload of an adapter that it does not hold any more, and does not count that order; the side counted it, took every later report for one from before that order, and sent no order again. Side and engine differ on what is in use after callers have left while the engine stood still, which is how such an unload comes about. Now such reports are ignored for 500 ms only, and the log says so (engine orders=).

The test "an unload that the engine does not count does not end the orders" failed before.

--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -319,6 +319,8 @@
   bool unloadOutdated(const Time &Now);
   void sendOrder(const Time &Now, OrderKind Kind, const std::string &Model,
                  const std::string &Adapter);
+  /// The engine has accepted \p Order; its next reports are to show it.
+  void countOrder(const Time &Now, const EngineOrder &Order);
   uint32_t slotsUsed() const;
   uint32_t incoming() const;
   bool neededByQueue(const std::string &Name) const;
@@ -333,6 +335,8 @@
   EngineReport Report;
   bool Reachable = false;
   Time ReportedAt{};
+  // When an answer to an order last raised the count of orders in Report.
+  Time CountedAt{};
   std::map<std::string, AdapterState> Adapters;
   std::map<RequestKey, Grant> Grants;
   // Waiting requests by rank, then by arrival.
--- a/admission/side_orders.cc
+++ b/admission/side_orders.cc
@@ -18,6 +18,10 @@
 // A granted request of this age is taken to be lost, with its entry, if the
 // engine reports no running or waiting requests.
 constexpr Duration LostGrantAge = std::chrono::milliseconds(1500);
+// A report is at most this old when it arrives. One that shows fewer orders
+// than were counted is from before the last of them if it arrives sooner after
+// its answer; later, that order was not counted by the engine.
+constexpr Duration MaxReportAge = std::chrono::milliseconds(500);
 // Time between reports while no order is in progress, and while one is.
 constexpr Duration IdleReportInterval = std::chrono::milliseconds(250);
 constexpr Duration BusyReportInterval = std::chrono::milliseconds(10);
@@ -34,10 +38,14 @@
 
 void SideAdmission::onReport(const Time &Now, const EngineReport &NewReport) {
   const bool Restarted = Reachable && NewReport.StartedMs != Report.StartedMs;
-  // The report is older than the answer to the last order.
   if (Reachable && !Restarted && NewReport.OrderCount < Report.OrderCount) {
-    ReportedAt = Now;
-    return;
+    if (Now - CountedAt < MaxReportAge) {
+      ReportedAt = Now;
+      return;
+    }
+    Port.log(LogClass::Kept,
+             "engine orders=" + std::to_string(NewReport.OrderCount) +
+                 " expected=" + std::to_string(Report.OrderCount));
   }
   if (Restarted || !Reachable) {
     Port.log(
@@ -290,7 +298,7 @@
     // Apply the effect that the next report will show, so that the next order
     // need not wait for that report.
     if (Outcome == OrderOutcome::Accepted || Order.Kind == OrderKind::Unload)
-      Report.OrderCount = Order.ExpectedCount + 1;
+      countOrder(Now, Order);
     if (Order.Kind == OrderKind::Load && Outcome == OrderOutcome::Accepted) {
       if (Order.Adapter.empty()) {
         Report.Busy = true;
@@ -331,6 +339,11 @@
   NoOrderBefore = Now + BusyReportInterval;
 }
 
+void SideAdmission::countOrder(const Time &Now, const EngineOrder &Order) {
+  Report.OrderCount = Order.ExpectedCount + 1;
+  CountedAt = Now;
+}
+
 bool SideAdmission::awaitsReport() const {
   return OrderAnswered || Report.Busy || !Report.Incoming.empty() ||
          (OpenOrder.has_value() && !OrderAnswered);
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -315,6 +315,26 @@
   CHECK(S.lastOrder().ExpectedCount == 1);
 }
 
+TEST_CASE("an unload that the engine does not count does not end the orders") {
+  Side S({{"a", 1}, {"b", 1}, {"c", 1}});
+  S.Admission.onAdmissionRequest(at(1), request(1, "d"));
+  REQUIRE(S.lastOrder().Kind == OrderKind::Unload);
+  // The engine did not hold the adapter any more.
+  const std::string Gone = S.lastOrder().Adapter;
+  std::vector<HeldAdapter> Held = {{"a", 1}, {"b", 1}, {"c", 1}};
+  std::erase_if(Held, [&](const HeldAdapter &A) { return A.Name == Gone; });
+  S.Admission.onOrderOutcome(at(3), S.lastOrder().Number,
+                             OrderOutcome::Completed);
+  for (int64_t Ms = 10; Ms <= 1000; Ms += 10) {
+    if (const EngineOrder Last = S.lastOrder(); Last.ExpectedCount != 0)
+      S.Admission.onOrderOutcome(at(Ms), Last.Number, OrderOutcome::Conflict);
+    S.Admission.onReport(at(Ms), report(Held));
+  }
+  CHECK(S.lastOrder().Kind == OrderKind::Load);
+  CHECK(S.lastOrder().Adapter == "d");
+  CHECK(S.lastOrder().ExpectedCount == 0);
+}
+
 TEST_CASE("after an engine restart, the base model is loaded at once") {
   Side S({{"a", 1}});
   S.Admission.onAdmissionRequest(at(1), request(1, "a"));
