Sides: a prefetch whose adapter is loaded is over

Callers saw: requests at a side whose engine had one slot that was not in use waited until they were refused or their callers left. Cause: the side evicted the adapter of a prefetch for a waiting request, and then gave the slot to the same prefetch again, which is dropped by the timer only, not when its adapter is loaded. So the two alternated, one order every few milliseconds, and the request's adapter was never loaded.

The test "a prefetch does not take the slot that is freed for a request" failed before: 40 orders in 200 ms, and the request is not granted. Three orders now.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -444,6 +444,10 @@
       Expired.push_back(Id);
   for (const RequestKey &Id : Expired)
     onEnd(Now, Id.first, Id.second, Duration(0));
+  dropEndedPrefetches(Now);
+}
+
+void SideAdmission::dropEndedPrefetches(const Time &Now) {
   Prefetches.remove_if([&](const WaitingRequest &W) {
     return Now >= W.Until || ready(Now, W.Request);
   });
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -310,6 +310,8 @@
   Duration expectedWait(const Time &Now, const AdmissionRequest &Request) const;
   void serveQueue(const Time &Now);
   void expire(const Time &Now);
+  /// Removes the prefetches that have expired or whose adapters are loaded.
+  void dropEndedPrefetches(const Time &Now);
   void placeOrder(const Time &Now);
   bool orderBaseModel(const Time &Now);
   bool orderAdapter(const Time &Now, const std::string &Model,
--- a/admission/side_orders.cc
+++ b/admission/side_orders.cc
@@ -172,6 +172,9 @@
     return;
   if (unloadOutdated(Now))
     return;
+  // A prefetch that has had its load does not get it again when the adapter
+  // makes room for another one.
+  dropEndedPrefetches(Now);
   for (const AdmissionRequest *Request : loadCandidates(Now)) {
     const std::string Name = adapterName(Request->Model, Request->Adapter);
     if (Request->Adapter.empty() || !baseModel(Request->Model) ||
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -315,6 +315,34 @@
   CHECK(S.lastOrder().ExpectedCount == 1);
 }
 
+TEST_CASE("a prefetch does not take the slot that is freed for a request") {
+  Side S({{"a", 1}, {"b", 1}});
+  S.Admission.onAdmissionRequest(at(1), request(1, "a"));
+  S.Admission.onAdmissionRequest(at(1), request(2, "b"));
+  AdmissionRequest Prefetch = request(3, "p");
+  Prefetch.Prefetch = true;
+  S.Admission.onAdmissionRequest(at(2), Prefetch);
+  S.Admission.onAdmissionRequest(at(2), request(4, "d"));
+  // Carries out every order at once.
+  std::vector<HeldAdapter> Held = {{"a", 1}, {"b", 1}};
+  uint64_t Count = 0;
+  for (int64_t Ms = 10; Ms <= 200; Ms += 5) {
+    if (const EngineOrder O = S.lastOrder(); O.ExpectedCount == Count) {
+      ++Count;
+      if (O.Kind == OrderKind::Load)
+        Held.push_back({O.Adapter, 1});
+      else
+        std::erase_if(
+            Held, [&](const HeldAdapter &A) { return A.Name == O.Adapter; });
+      S.Admission.onOrderOutcome(at(Ms), O.Number, OrderOutcome::Accepted);
+    }
+    S.Admission.onReport(at(Ms + 1), report(Held, Count));
+    S.Admission.onTimer(at(Ms + 2));
+  }
+  CHECK(S.Port.Replies[4] == Verdict::Go);
+  CHECK(S.Port.Orders.size() == 3);
+}
+
 TEST_CASE("an unload that the engine does not count does not end the orders") {
   Side S({{"a", 1}, {"b", 1}, {"c", 1}});
   S.Admission.onAdmissionRequest(at(1), request(1, "d"));
