HTTP client: reserve no memory for the length that a response names

Cause: Beast's string_body reserves the Content-Length of a response before the body arrives, up to the limit of 1 PB that calls set since they keep no body; std::bad_alloc then ends the process, entry or side, with the requests of all its callers. Now responses are parsed with a body that grows with what arrives and is passed on part by part.

--- a/http/client.cc
+++ b/http/client.cc
@@ -28,6 +28,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/part_body.h"
+
 namespace goldcrestlink::http {
 
 namespace asio = boost::asio;
@@ -389,7 +391,7 @@
   std::optional<beast::tcp_stream> Stream;
   beast::flat_buffer Buffer;
   bhttp::request<bhttp::string_body> Message;
-  std::optional<bhttp::response_parser<bhttp::string_body>> Parser;
+  std::optional<bhttp::response_parser<PartBody>> Parser;
   // Increases with each connection of this call. Handlers of an earlier
   // connection compare it and do nothing.
   unsigned Attempt = 0;
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -154,6 +154,11 @@
   }
 }
 
+TEST_CASE("a response that names a huge length takes no memory for it") {
+  CHECK(fetchOutcome("HTTP/1.1 200 OK\r\nContent-Length: 999999999999999\r\n"
+                     "\r\nab") == "broken");
+}
+
 TEST_CASE("cancelling a call closes its connection, and no handler runs") {
   struct Row {
     const char *Name;
--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -217,12 +217,25 @@
   const std::string Host = "127.0.1." + std::to_string(I + 1);
   const auto Port = static_cast<uint16_t>(freePort());
   Platform.addEngine("e" + Number, Host, Port);
-  std::string Text = "[process]\nrole = side\ninstance = side-" + Number;
-  Text += "\ndata_center = z\nlisten = " + Host + ":1\n";
-  Text += fleetSection(Host);
-  Text += "engine = " + Host + ":" + std::to_string(Port);
+  startSide("side" + Number, {Host, Port});
+}
+
+void PlatformDeployment::startSide(const std::string &Name,
+                                   const http::Endpoint &Engine) {
+  std::string Text = "[process]\nrole = side\ninstance = " + Name;
+  Text += "\ndata_center = z\nlisten = " + Engine.Address + ":1\n";
+  Text += fleetSection(Engine.Address);
+  Text += "engine = " + Engine.text();
   Text += "\nservice = engines\n";
-  start("side" + Number, Text);
+  start(Name, Text);
+}
+
+bool PlatformDeployment::running(const std::string &Name) const {
+  return Processes.at(Name)->running();
+}
+
+double PlatformDeployment::peakMemoryMb(const std::string &Name) const {
+  return Processes.at(Name)->peakMemoryMb();
 }
 
 void PlatformDeployment::start(const std::string &Name,
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -59,6 +59,8 @@
   ~PlatformDeployment();
 
   void startEntry(int I);
+  /// Starts a side named \p Name beside an engine that the test runs itself.
+  void startSide(const std::string &Name, const http::Endpoint &Engine);
   bool ready(size_t I) const;
   /// Makes one request with a fresh id; a status of 0 means that there was no
   /// complete response. \p Prompt is the field Prompt-Prefix, if not empty.
@@ -84,6 +86,10 @@
   int stop(const std::string &Name);
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number) const;
+  /// Whether the process has not ended, and the most memory that it has used,
+  /// in MB.
+  bool running(const std::string &Name) const;
+  double peakMemoryMb(const std::string &Name) const;
   /// What the process has written so far.
   std::string log(const std::string &Name) const;
 
--- a/testing/raw_upstream.cc
+++ b/testing/raw_upstream.cc
@@ -54,9 +54,10 @@
   return Impl.Head.starts_with("GET ");
 }
 
-void RawConnection::write(const std::string &Bytes) {
+bool RawConnection::write(const std::string &Bytes) {
   boost::system::error_code Error;
   asio::write(Impl.Socket, asio::buffer(Bytes), Error);
+  return !Error;
 }
 
 void RawConnection::reset() {
--- a/testing/raw_upstream.h
+++ b/testing/raw_upstream.h
@@ -28,7 +28,8 @@
   std::string field(const std::string &Name) const;
   std::string requestId() const { return field("Request-Id"); }
   bool isHealthCheck() const;
-  void write(const std::string &Bytes);
+  /// False if the peer has closed the connection.
+  bool write(const std::string &Bytes);
   /// Closes with a reset.
   void reset();
 
