HTTP client: at most 64 KB of a response wait for the parser

Cause: a chunk size, an extension or a trailer is parsed once it is complete, and a call buffered up to 1 MB for it; an upstream that has some hundred connections of one entry could make it keep as many MB. 64 KB hold any of these.

--- a/http/client.cc
+++ b/http/client.cc
@@ -1,6 +1,7 @@
 // A call reuses an idle connection or opens a new one, writes the request, and
 // passes each part of the response on as it arrives, so a call buffers at most
-// ReadBufferBytes of the response.
+// ReadBufferBytes of the response. A chunk size or trailer that is longer fails
+// the call.
 //
 // If a reused connection breaks before the response header, the call is retried
 // once on a new connection if that connection took no byte of the request, or
@@ -40,7 +41,8 @@
 
 namespace {
 constexpr size_t MaxIdlePerEndpoint = 64;
-constexpr size_t ReadBufferBytes = 1024 * 1024;
+// An upstream may hold some hundred connections of this process at once.
+constexpr size_t ReadBufferBytes = 64 * 1024;
 // Effectively no limit: a call passes each part of the body on and keeps none
 // of them.
 constexpr uint64_t MaxBodyBytes = uint64_t(1) << 50;
