Sides: bound the answers that are not checked part by part

Cause: the side keeps the body of a failure, and of any answer of a plain service, until it is complete, without a limit, so one upstream that writes without end takes the side's memory and with it the calls of everyone else. Now the run is cancelled beyond 4 MB, as much as an answer that is checked may have, and the attempt fails with upstream_error.

--- a/side/side_runs.cc
+++ b/side/side_runs.cc
@@ -21,6 +21,9 @@
 constexpr unsigned StatusPreconditionFailed = 412;
 constexpr unsigned StatusUnavailable = 503;
 constexpr int64_t MinSequencesForReserve = 8;
+// Bytes of an answer that is kept until it is complete, since it is not checked
+// part by part. As much as an answer that is checked may have.
+constexpr size_t MaxBodyBytes = 4 * 1024 * 1024;
 constexpr Duration ExpiryInterval = std::chrono::milliseconds(250);
 constexpr Duration PlanInterval = std::chrono::milliseconds(20);
 
@@ -162,7 +165,12 @@
   const bool Checked = R.Check && R.Status == StatusOk;
   if (!Checked) {
     R.Body.append(Bytes);
-    return;
+    if (R.Body.size() <= MaxBodyBytes)
+      return;
+    Out.emplace_back(CancelRun{Id});
+    endRun(Id);
+    return failAttempt(Now, Id, Code::UpstreamError, Outcome::Unknown, false,
+                       Out);
   }
   std::string Part;
   if (!R.Check->feed(Bytes, Part) && Opts.checkAnswers()) {
--- a/side/testing/side_state_machine_test.cc
+++ b/side/testing/side_state_machine_test.cc
@@ -265,6 +265,36 @@
   CHECK(Side.Machine.upstreamDown());
 }
 
+TEST_CASE("an answer without end is cut off with bounded memory") {
+  struct Row {
+    const char *Upstream;
+    unsigned Status;
+  };
+  constexpr size_t MaxBytes = 8 * 1024 * 1024;
+  const std::string Part(64 * 1024, 'x');
+  for (const Row &R : {Row{"s", 200}, Row{"s", 500}, Row{"e", 500}}) {
+    CAPTURE(R.Upstream);
+    CAPTURE(R.Status);
+    SideFixture Side(R.Upstream);
+    Side.Machine.takeShard(at(-10), 0, 1);
+    Side.Machine.extendLease(at(10000).Steady);
+    if (std::string_view(R.Upstream) == "s") {
+      Side.sendKeyedCall(0, "1", "first");
+    } else {
+      Side.sendCompletion(0, "1");
+      Side.completeLoads(10);
+    }
+    REQUIRE(Side.count<StartRun>() == 1);
+    Side.Machine.onRunHead(at(20), "1", R.Status, "text/plain", Side.Out);
+    size_t Sent = 0;
+    for (; Side.count<CancelRun>() == 0 && Sent <= 2 * MaxBytes;
+         Sent += Part.size())
+      Side.Machine.onRunData(at(30), "1", Part, Side.Out);
+    CHECK(Sent <= MaxBytes + Part.size());
+    CHECK(Side.lastEvent("1").kind() == wire::AttemptEvent::FAILED);
+  }
+}
+
 TEST_CASE("an attempt denied before it arrived never runs") {
   SideFixture Side("e");
   wire::Envelope E;
