--- a/testing/faulty_answer_test.cc
+++ b/testing/faulty_answer_test.cc
@@ -203,7 +203,8 @@
         const std::lock_guard Lock(Mutex);
         Answer = Resumed;
       }
-      return C.write(Answer(Id));
+      C.write(Answer(Id));
+      return;
     }
   };
   RawUpstream First("127.0.3.8", Script);
