--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -367,8 +367,7 @@
   /// Learns the limit that an answer names or no longer names.
   void noteLimit(Time Now, const ActiveCall &Call);
   void finishSend(Time Now, ActiveCall &Call, CallOutcome Outcome);
-  /// What a call that has begun to be answered or not, and is given up, says of
-  /// its upstream.
+  /// What a call that is given up before its end says of its upstream.
   static CallOutcome outcomeWhenGivenUp(const ActiveCall &Call);
   /// Counts a call as failed at its engine that has sent nothing for the
   /// route's objective. Otherwise looks again when that will be the case.
