--- a/review/testbed.h
+++ b/review/testbed.h
@@ -16,7 +16,6 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
-#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <list>
@@ -518,10 +517,13 @@
 
   void start() {
     Exit = -1;
+    const pid_t Parent = ::getpid();
     Id = ::fork();
     if (Id != 0)
       return;
     prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != Parent)
+      ::_exit(127);
     if (MaxDescriptors > 0) {
       const rlimit Limit{static_cast<rlim_t>(MaxDescriptors),
                          static_cast<rlim_t>(MaxDescriptors)};
@@ -638,24 +640,27 @@
 /// that run the commands of the deploy file with its templates.
 class Testbed {
 public:
+  /// A case that takes longer is ended.
+  static constexpr unsigned MaxSeconds = 110;
+
   explicit Testbed(const std::string &CaseFolder)
       : Log(CaseFolder + "/record.txt"),
         Net("127." + std::to_string(64 + ::getpid() % 128) + "." +
             std::to_string(::getpid() / 128 % 256) + "."),
         Platform(ip(250)), LinkPort(freePort(ip(250))) {
     std::signal(SIGPIPE, SIG_IGN);
-    char Template[] = "/tmp/review-XXXXXX";
-    if (!::mkdtemp(Template))
-      throw std::runtime_error("no temporary folder");
-    Folder = Template;
+    // The case ends with its script, and its processes with the case.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    ::alarm(MaxSeconds);
+    const char *Given = std::getenv("REVIEW_FOLDER");
+    if (!Given)
+      throw std::runtime_error("to be started by run.sh");
+    Folder = Given;
     const char *Wanted = std::getenv("TROUBLE");
     Trouble = !Wanted || std::string(Wanted) != "0";
     Log.add(std::string("trouble ") + (Trouble ? "on" : "off"));
   }
-  ~Testbed() {
-    Processes.clear();
-    std::filesystem::remove_all(Folder);
-  }
+  ~Testbed() { Processes.clear(); }
 
   /// The address with this last number, of the network of this case.
   std::string ip(int Last) const { return Net + std::to_string(Last); }
@@ -698,7 +703,6 @@
           Log.add(Name + (P->running() ? " runs" : " ended: " + P->exitText()) +
                   "\n" + logOf(Name));
         Processes.clear();
-        std::filesystem::remove_all(Folder);
         std::_Exit(2);
       }
       sleepFor(0.05);
