Sides log when they learn of a version and from when they require it

The logs showed that the side had learned of the version before it granted these requests, but not until when it went on granting the old one, so a side that counts from its own learning could not be told from one that has not processed the announcement yet.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -66,12 +66,18 @@
   AnnouncedVersion &Known = Announced[Name];
   if (Release.Version <= Known.Version)
     return;
+  const uint64_t Before = Known.Version;
   Known.Version = Release.Version;
   const auto Spread = static_cast<uint64_t>(Opts.releaseSpread().count());
   Known.RequiredFrom =
       Now +
       Duration(static_cast<int64_t>(
           hash64(Name, mixHash(Opts.spreadSeed(), Release.Version)) % Spread));
+  Port.log(LogClass::Routine,
+           "release adapter=" + Name +
+               " version=" + std::to_string(Release.Version) +
+               " before=" + std::to_string(Before) + " required_in_ms=" +
+               std::to_string((Known.RequiredFrom - Now).count() / 1000));
   placeOrder(Now);
 }
 
