A side counts the time to replace an adapter from its announcement

Cause: a side grants requests on an old version for up to 1.8 s more, and counted that time from when it learned of the newer one. A side that stood still, or was started again, learned late. Entries named the newer version in admission requests, but not since when they had known it.

Evidence: the sides' new log lines. A side stood still until 11.00 s, learned of twelve versions by 11.13 s and required them up to 1.5 s later; the requests in question came to their entries after that. Ruled out: grants from before the stop, requests sent without admission, entries that learn late, engines that begin late.

Fix: catalog updates and admission requests state how long a version has been known, and the time counts from the announcement. It works whatever the side has missed, since each grant follows a request of an entry that has known the version all along.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -20,6 +20,10 @@
 // entries repeat their prefetch requests.
 constexpr Duration PrefetchExpiry = std::chrono::seconds(1);
 
+// A version that is told again is required sooner only if the difference is
+// more than the time that messages take.
+constexpr Duration MinAdvance = std::chrono::milliseconds(50);
+
 // Expected time until an engine that is slow at present has its usual speed
 // again.
 constexpr Duration SlowSpell = std::chrono::milliseconds(250);
@@ -64,20 +68,26 @@
 void SideAdmission::onRelease(const Time &Now, const WeightRelease &Release) {
   const std::string Name = adapterName(Release.Model, Release.Adapter);
   AnnouncedVersion &Known = Announced[Name];
-  if (Release.Version <= Known.Version)
+  const bool IsNewer = Release.Version > Known.Version;
+  if (Release.Version < Known.Version ||
+      (!IsNewer && Now >= Known.RequiredFrom))
     return;
-  const uint64_t Before = Known.Version;
-  Known.Version = Release.Version;
+  // Counted from the announcement: a side that learns of it late, because it
+  // stood still or has just started, has that much less time.
   const auto Spread = static_cast<uint64_t>(Opts.releaseSpread().count());
-  Known.RequiredFrom =
-      Now +
+  const Time RequiredFrom =
+      Now - Release.Age +
       Duration(static_cast<int64_t>(
           hash64(Name, mixHash(Opts.spreadSeed(), Release.Version)) % Spread));
+  if (!IsNewer && Known.RequiredFrom - RequiredFrom < MinAdvance)
+    return;
   Port.log(LogClass::Routine,
            "release adapter=" + Name +
                " version=" + std::to_string(Release.Version) +
-               " before=" + std::to_string(Before) + " required_in_ms=" +
-               std::to_string((Known.RequiredFrom - Now).count() / 1000));
+               " before=" + std::to_string(Known.Version) + " age_ms=" +
+               std::to_string(Release.Age.count() / 1000) + " required_in_ms=" +
+               std::to_string((RequiredFrom - Now).count() / 1000));
+  Known = {Release.Version, RequiredFrom};
   placeOrder(Now);
 }
 
@@ -225,7 +235,11 @@
 void SideAdmission::onAdmissionRequest(const Time &Now,
                                        AdmissionRequest Request) {
   if (Request.Version > 0)
-    onRelease(Now, {Request.Model, Request.Adapter, Request.Version});
+    onRelease(Now, {Request.Model,
+                    Request.Adapter,
+                    Request.Version,
+                    {},
+                    Request.VersionAge});
   if (Request.Prefetch) {
     if (!ready(Now, Request) && Prefetches.size() < Opts.maxWaiting())
       Prefetches.push_back({std::move(Request), Now, Now + PrefetchExpiry,
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -44,6 +44,8 @@
   std::string Adapter;
   /// Newest version that the entry knows of; 0 if none was announced.
   uint64_t Version = 0;
+  /// Time since the announcement of that version; see WeightRelease::Age.
+  Duration VersionAge{};
   uint32_t Rank = 0;
   uint32_t PromptTokens = 0;
   uint32_t OutputTokens = 0;
@@ -191,7 +193,8 @@
 
   /// Sets the specification of the engine's service.
   void onConfig(const Time &Now, const EngineSpec &Engine);
-  /// A newer version of an adapter was announced.
+  /// A version of an adapter was announced. Told again with a greater age, it
+  /// may be required sooner.
   void onRelease(const Time &Now, const WeightRelease &Release);
   /// An entry asks for admission. Answered through SidePort::reply(), at once
   /// or later, unless it is a prefetch.
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -410,6 +410,72 @@
   CHECK(S.Port.Versions[3] == 2);
 }
 
+// Guards against a side that counts the time to replace an adapter from when it
+// learns of the version instead of from the announcement.
+TEST_CASE("a version is required from a time after its announcement, however "
+          "late the side learns of it") {
+  using std::chrono::milliseconds;
+  struct Told {
+    int64_t Ms;
+    // By an admission request, or else by another process's update.
+    bool ByRequest;
+    Duration Age;
+  };
+  struct Row {
+    const char *Name;
+    std::vector<Told> Reports;
+    // The version was announced at 0 ms. Whether a request may still be granted
+    // on the old version then.
+    int64_t AskedMs;
+    bool OldIsGranted;
+  };
+  // From the announcement on, requests on the old version are granted for up to
+  // 1,800 ms, as long for one adapter and side whenever the side learns of it.
+  const Row Rows[] = {
+      {"not told", {}, 5000, true},
+      {"told at once, asked at once", {{0, false, {}}}, 0, true},
+      {"told at once, asked later", {{0, false, {}}}, 1800, false},
+      {"told late, by an update",
+       {{4900, false, milliseconds(4900)}},
+       4900,
+       false},
+      {"told late, by a request",
+       {{4900, true, milliseconds(4900)}},
+       4900,
+       false},
+      {"told late of what may be older than any process knows",
+       {{100, false, WeightRelease::LongAgo}},
+       100,
+       false},
+      {"told late, by a message that waited, and then by a request",
+       {{4900, true, milliseconds(100)}, {4901, true, milliseconds(4901)}},
+       4901,
+       false},
+      {"told again with a lower age",
+       {{4900, false, milliseconds(4900)}, {4901, true, milliseconds(10)}},
+       4901,
+       false},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Side S({{"a", 1}});
+    uint64_t Id = 10;
+    for (const Told &T : R.Reports) {
+      if (!T.ByRequest) {
+        S.Admission.onRelease(at(T.Ms), {"m", "a", 2, {}, T.Age});
+        continue;
+      }
+      AdmissionRequest Request = request(++Id, "a");
+      Request.Version = 2;
+      Request.VersionAge = T.Age;
+      Request.Prefetch = true;
+      S.Admission.onAdmissionRequest(at(T.Ms), Request);
+    }
+    S.Admission.onAdmissionRequest(at(R.AskedMs), request(1, "a"));
+    CHECK((S.Port.Replies[1] == Verdict::Go) == R.OldIsGranted);
+  }
+}
+
 TEST_CASE("the most urgent waiting request is granted when capacity is freed") {
   Side S({{"a", 1}});
   for (uint64_t Id = 1; Id <= 4; ++Id)
--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -158,15 +158,18 @@
     Upstreams.erase(Id);
 }
 
-bool Catalog::applyRelease(const WeightRelease &Release) {
-  WeightRelease &Known = Releases[releaseKey(Release.Model, Release.Adapter)];
-  if (Release.Version < Known.Version)
+bool Catalog::applyRelease(Time Now, const WeightRelease &Release) {
+  KnownRelease &Known = Releases[releaseKey(Release.Model, Release.Adapter)];
+  if (Release.Version < Known.Release.Version)
     return false;
-  const bool IsNewer = Release.Version > Known.Version;
+  const bool IsNewer = Release.Version > Known.Release.Version;
+  const Time AnnouncedBy = Now - Release.Age;
+  Known.AnnouncedBy =
+      IsNewer ? AnnouncedBy : std::min(Known.AnnouncedBy, AnnouncedBy);
   // A version that is announced again, in a later era, is sent to processes
   // that know the store only from then on.
-  if (IsNewer || Release.Revision > Known.Revision) {
-    Known = Release;
+  if (IsNewer || Release.Revision > Known.Release.Revision) {
+    Known.Release = Release;
     Current.Releases = std::max(Current.Releases, Release.Revision);
   }
   return IsNewer;
@@ -185,7 +188,7 @@
     Current.Upstreams = std::max(Current.Upstreams, Update.AsOf.Upstreams);
   }
   for (const WeightRelease &R : Update.Releases)
-    Changed |= applyRelease(R);
+    Changed |= applyRelease(Now, R);
   Current.Releases = std::max(Current.Releases, Update.AsOf.Releases);
   return Changed;
 }
@@ -211,8 +214,10 @@
     Out.Upstreams.push_back(std::move(Change));
   }
   for (const auto &[Key, R] : Releases)
-    if (R.Revision > Known.Releases)
-      Out.Releases.push_back(R);
+    if (R.Release.Revision > Known.Releases) {
+      Out.Releases.push_back(R.Release);
+      Out.Releases.back().Age = Now - R.AnnouncedBy;
+    }
   return Out;
 }
 
@@ -256,10 +261,22 @@
   return nullptr;
 }
 
+const Catalog::KnownRelease *
+Catalog::releaseOf(std::string_view Model, std::string_view Adapter) const {
+  const auto It = Releases.find(releaseKey(Model, Adapter));
+  return It == Releases.end() ? nullptr : &It->second;
+}
+
 uint64_t Catalog::releasedVersion(std::string_view Model,
                                   std::string_view Adapter) const {
-  const auto It = Releases.find(releaseKey(Model, Adapter));
-  return It == Releases.end() ? 0 : It->second.Version;
+  const KnownRelease *Known = releaseOf(Model, Adapter);
+  return Known ? Known->Release.Version : 0;
+}
+
+Duration Catalog::releaseAge(Time Now, std::string_view Model,
+                             std::string_view Adapter) const {
+  const KnownRelease *Known = releaseOf(Model, Adapter);
+  return Known ? Now - Known->AnnouncedBy : Duration(0);
 }
 
 } // namespace goldcrestlink
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -118,7 +118,7 @@
   bool applyUpstream(Time Now, StoreRevision Revision, const std::string &Id,
                      const UpstreamRecord *Record);
   /// Returns true if the version is newer than the known one.
-  bool applyRelease(const WeightRelease &Release);
+  bool applyRelease(Time Now, const WeightRelease &Release);
   /// Applies the upstreams and releases of another process's update. Returns
   /// true if any is new. The caller decodes the configuration and applies it.
   bool applyUpdate(Time Now, const CatalogUpdate &Update);
@@ -141,6 +141,9 @@
   /// The newest announced version; 0 if none was announced.
   uint64_t releasedVersion(std::string_view Model,
                            std::string_view Adapter) const;
+  /// How long ago the newest version was announced, at least; zero if none was.
+  Duration releaseAge(Time Now, std::string_view Model,
+                      std::string_view Adapter) const;
   const std::map<std::string, UpstreamRecord> &upstreams() const {
     return Upstreams;
   }
@@ -151,9 +154,8 @@
   const CatalogRevisions &revisions() const { return Current; }
   /// The update that brings a process with the revisions \p Known up to date.
   CatalogUpdate since(Time Now, const CatalogRevisions &Known) const;
-  const std::map<std::string, WeightRelease, std::less<>> &releases() const {
-    return Releases;
-  }
+  /// Number of adapters and models of which a version was announced.
+  size_t releaseCount() const { return Releases.size(); }
 
 private:
   struct Revision {
@@ -162,6 +164,11 @@
     // Revision of the last update that changed the upstream.
     StoreRevision Changed;
   };
+  struct KnownRelease {
+    WeightRelease Release;
+    // It was announced by then.
+    Time AnnouncedBy{};
+  };
   struct Pending {
     Time Until;
     std::optional<UpstreamRecord> Record;
@@ -182,6 +189,9 @@
                    const UpstreamChange &Change);
   /// Whether \p Record is the one that takes effect later.
   bool isDeferred(const std::string &Id, const UpstreamRecord *Record) const;
+  /// Null if no version was announced.
+  const KnownRelease *releaseOf(std::string_view Model,
+                                std::string_view Adapter) const;
   void remove(Time Now, const std::string &Id);
   void trimRevisions();
 
@@ -195,7 +205,7 @@
   std::map<std::string, Revision> Revisions;
   CatalogRevisions Current;
   std::shared_ptr<const std::string> ConfigText;
-  std::map<std::string, WeightRelease, std::less<>> Releases;
+  std::map<std::string, KnownRelease, std::less<>> Releases;
   // Changes deferred after an outage of the store or its return from an older
   // copy; at most one for each upstream.
   std::map<std::string, Pending> Deferred;
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -155,7 +155,7 @@
   const UpstreamRecord OtherRecord = record("v");
   A.applyUpstream(at(0), {1, 5}, "u", &Record);
   A.applyUpstream(at(0), {1, 9}, "u", &DrainingRecord);
-  A.applyRelease({"m", "a1", 3, {1, 12}});
+  A.applyRelease(at(0), {"m", "a1", 3, {1, 12}});
   B.applyUpstream(at(0), {1, 5}, "u", &Record);
   B.applyUpstream(at(0), {1, 6}, "v", &OtherRecord);
   B.applyUpstream(at(0), {1, 7}, "v", nullptr);
@@ -170,6 +170,50 @@
   CHECK(A.since(at(1), B.revisions()).Releases.empty());
 }
 
+TEST_CASE("the age of a release is counted from the announcement, also by a "
+          "process that learns of it late") {
+  struct Report {
+    int64_t Ms;
+    uint64_t Version;
+    int64_t AgeMs;
+  };
+  struct Row {
+    const char *Name;
+    std::vector<Report> Reports;
+    // At 5,000 ms.
+    int64_t AgeMs;
+  };
+  const Row Rows[] = {
+      {"none", {}, 0},
+      {"new", {{1000, 2, 0}}, 4000},
+      {"known to others for a while", {{4000, 2, 3000}}, 4000},
+      {"told again by one that knows it longer",
+       {{4000, 2, 0}, {4500, 2, 2000}},
+       2500},
+      {"told again by one that has just learnt it",
+       {{4000, 2, 3000}, {4500, 2, 0}},
+       4000},
+      {"followed by a newer one", {{1000, 2, 3000}, {4500, 3, 100}}, 600},
+      {"followed by an older one", {{1000, 2, 0}, {4500, 1, 4000}}, 4000},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Catalog Known;
+    for (const Report &P : R.Reports)
+      Known.applyRelease(at(P.Ms), {"m",
+                                    "a1",
+                                    P.Version,
+                                    {1, 10 + P.Version},
+                                    std::chrono::milliseconds(P.AgeMs)});
+    CHECK(Known.releaseAge(at(5000), "m", "a1") ==
+          std::chrono::milliseconds(R.AgeMs));
+    Catalog Late;
+    Late.applyUpdate(at(5000), Known.since(at(5000), Late.revisions()));
+    CHECK(Late.releaseAge(at(5100), "m", "a1") ==
+          std::chrono::milliseconds(R.Reports.empty() ? 0 : R.AgeMs + 100));
+  }
+}
+
 TEST_CASE("an update without a change does not raise the revision") {
   Catalog C;
   const UpstreamRecord Record = record("u");
@@ -396,11 +440,11 @@
 TEST_CASE("a release that is announced again in a later era is passed on") {
   Catalog A;
   Catalog B;
-  A.applyRelease({"m", "a1", 5, {1, 90}});
-  B.applyRelease({"m", "a1", 4, {2, 40}});
-  CHECK_FALSE(A.applyRelease({"m", "a1", 4, {2, 40}}));
+  A.applyRelease(at(0), {"m", "a1", 5, {1, 90}});
+  B.applyRelease(at(0), {"m", "a1", 4, {2, 40}});
+  CHECK_FALSE(A.applyRelease(at(0), {"m", "a1", 4, {2, 40}}));
   CHECK(A.releasedVersion("m", "a1") == 5);
-  CHECK_FALSE(A.applyRelease({"m", "a1", 5, {2, 60}}));
+  CHECK_FALSE(A.applyRelease(at(0), {"m", "a1", 5, {2, 60}}));
   REQUIRE(B.revisions().lacks(A.revisions()));
   B.applyUpdate(at(0), A.since(at(0), B.revisions()));
   CHECK(B.releasedVersion("m", "a1") == 5);
--- a/catalog/types.h
+++ b/catalog/types.h
@@ -134,6 +134,13 @@
   uint64_t Version = 0;
   /// Revision of the announcement; 0 if it did not come from the store.
   StoreRevision Revision = {};
+  /// Time since the announcement. It may be longer: this is the longest for
+  /// which a process is known to have known it.
+  Duration Age{};
+
+  /// Stands for an age that is not known: every process takes the version for
+  /// one that has replaced the older ones.
+  static constexpr Duration LongAgo = std::chrono::hours(1);
 };
 
 } // namespace goldcrestlink
--- a/cli/fleet_view.cc
+++ b/cli/fleet_view.cc
@@ -54,7 +54,7 @@
   return {{"config_version", C.config()->Version},
           {"store_era", C.revisions().Upstreams.Era},
           {"upstreams_revision", C.revisions().Upstreams.Number},
-          {"releases", C.releases().size()},
+          {"releases", C.releaseCount()},
           {"routes", Routes},
           {"upstreams", Upstreams}};
 }
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "daemon/catalog_codec.h"
+
 namespace goldcrestlink {
 
 namespace {
@@ -24,6 +26,7 @@
   Message.set_model(Request.Model);
   Message.set_adapter(Request.Adapter);
   Message.set_version(Request.Version);
+  Message.set_version_age_us(toWireAge(Request.VersionAge));
   Message.set_rank(Request.Rank);
   Message.set_prompt_tokens(Request.PromptTokens);
   Message.set_output_tokens(Request.OutputTokens);
@@ -49,6 +52,7 @@
   Request.Model = Message.model();
   Request.Adapter = Message.adapter();
   Request.Version = Message.version();
+  Request.VersionAge = fromWireAge(Message.version_age_us());
   Request.Rank = Message.rank();
   Request.PromptTokens = Message.prompt_tokens();
   Request.OutputTokens = Message.output_tokens();
--- a/daemon/catalog_codec.cc
+++ b/daemon/catalog_codec.cc
@@ -77,6 +77,16 @@
 
 } // namespace
 
+uint64_t toWireAge(Duration Age) {
+  return static_cast<uint64_t>(
+      std::clamp(Age, Duration(0), WeightRelease::LongAgo).count());
+}
+
+Duration fromWireAge(uint64_t Microseconds) {
+  return Duration(static_cast<int64_t>(std::min(
+      Microseconds, static_cast<uint64_t>(WeightRelease::LongAgo.count()))));
+}
+
 wire::Envelope encodeDigest(const CatalogRevisions &R, uint64_t Verdicts) {
   wire::Envelope Out;
   fillRevisions(*Out.mutable_digest(), R);
@@ -103,6 +113,7 @@
     Release.set_version(R.Version);
     Release.set_revision(R.Revision.Number);
     Release.set_era(R.Revision.Era);
+    Release.set_age_us(toWireAge(R.Age));
   }
   Message.set_complete(Update.Complete);
   fillRevisions(*Message.mutable_as_of(), Update.AsOf);
@@ -129,7 +140,8 @@
     Update.Releases.push_back({Item.model(),
                                Item.adapter(),
                                Item.version(),
-                               {Item.era(), Item.revision()}});
+                               {Item.era(), Item.revision()},
+                               fromWireAge(Item.age_us())});
   Update.Complete = Message.complete();
   Update.AsOf = decodeRevisions(Message.as_of());
   return Update;
--- a/daemon/catalog_codec.h
+++ b/daemon/catalog_codec.h
@@ -22,6 +22,10 @@
 wire::Envelope encodeCatalogRequest(const CatalogRevisions &Known);
 wire::Envelope encodeCatalogUpdate(const CatalogUpdate &Update);
 CatalogRevisions decodeRevisions(const wire::BeliefRevisions &Message);
+/// The age of an announcement on the wire, in microseconds, at most
+/// WeightRelease::LongAgo.
+uint64_t toWireAge(Duration Age);
+Duration fromWireAge(uint64_t Microseconds);
 /// Omits upstreams whose address cannot be parsed.
 CatalogUpdate decodeCatalogUpdate(const wire::Beliefs &Message);
 
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -195,7 +195,7 @@
   Unreadable.remove(platform::kinds::Releases, Object.Name);
   Record->Revision = Object.Revision;
   const CatalogRevisions Before = KnownCatalog.revisions();
-  const bool IsNewer = KnownCatalog.applyRelease(*Record);
+  const bool IsNewer = KnownCatalog.applyRelease(currentTime().Steady, *Record);
   // Digests announce the revision also if the version is known already.
   if (KnownCatalog.revisions() != Before)
     scheduleNotification();
--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -217,7 +217,8 @@
   const std::string Host = "127.0.1." + std::to_string(I + 1);
   const auto Port = static_cast<uint16_t>(freePort());
   Platform.addEngine("e" + Number, Host, Port);
-  startSide("side" + Number, {Host, Port});
+  Engines.push_back({Host, Port});
+  startSide("side" + Number, Engines.back());
 }
 
 void PlatformDeployment::startSide(const std::string &Name,
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -96,6 +96,8 @@
   PlatformStandIn Platform;
   std::vector<http::Endpoint> Entries;
   std::vector<http::Endpoint> Ready;
+  /// Where "e0", "e1" and so on listen.
+  std::vector<http::Endpoint> Engines;
 
 private:
   std::string fleetSection(const std::string &Host) const;
