Each version is required from its own announcement, whatever is announced after it

Cause: a side kept one version and the time from which it was required; a further announcement replaced both. Processes that learned late were told of the newest version only. Found on the paths on which a side learns late, as the same fault.

Ruled out: late learning as such.

Fix: VersionTimes keeps the versions announced lately with a time for each; catalogs pass them all on, and a side requires the newest whose time has come. A later announcement adds a time and takes none away.

--- a/admission/side_admission.cc
+++ b/admission/side_admission.cc
@@ -67,11 +67,8 @@
 
 void SideAdmission::onRelease(const Time &Now, const WeightRelease &Release) {
   const std::string Name = adapterName(Release.Model, Release.Adapter);
-  AnnouncedVersion &Known = Announced[Name];
-  const bool IsNewer = Release.Version > Known.Version;
-  if (Release.Version < Known.Version ||
-      (!IsNewer && Now >= Known.RequiredFrom))
-    return;
+  VersionTimes &Required = RequiredVersions[Name];
+  const std::optional<Time> KnownFrom = Required.from(Release.Version);
   // Counted from the announcement: a side that learns of it late, because it
   // stood still or has just started, has that much less time.
   const auto Spread = static_cast<uint64_t>(Opts.releaseSpread().count());
@@ -79,15 +76,16 @@
       Now - Release.Age +
       Duration(static_cast<int64_t>(
           hash64(Name, mixHash(Opts.spreadSeed(), Release.Version)) % Spread));
-  if (!IsNewer && Known.RequiredFrom - RequiredFrom < MinAdvance)
+  if (KnownFrom &&
+      (*KnownFrom <= Now || *KnownFrom - RequiredFrom < MinAdvance))
     return;
   Port.log(LogClass::Routine,
            "release adapter=" + Name +
                " version=" + std::to_string(Release.Version) +
-               " before=" + std::to_string(Known.Version) + " age_ms=" +
+               " before=" + std::to_string(Required.newest()) + " age_ms=" +
                std::to_string(Release.Age.count() / 1000) + " required_in_ms=" +
                std::to_string((RequiredFrom - Now).count() / 1000));
-  Known = {Release.Version, RequiredFrom};
+  Required.add(Now, Release.Version, RequiredFrom);
   placeOrder(Now);
 }
 
@@ -100,10 +98,8 @@
 
 uint64_t SideAdmission::requiredVersion(const Time &Now,
                                         const std::string &Name) const {
-  const auto It = Announced.find(Name);
-  return It == Announced.end() || Now < It->second.RequiredFrom
-             ? 0
-             : It->second.Version;
+  const auto It = RequiredVersions.find(Name);
+  return It == RequiredVersions.end() ? 0 : It->second.at(Now);
 }
 
 const SideAdmission::AdapterState *
@@ -234,12 +230,8 @@
 
 void SideAdmission::onAdmissionRequest(const Time &Now,
                                        AdmissionRequest Request) {
-  if (Request.Version > 0)
-    onRelease(Now, {Request.Model,
-                    Request.Adapter,
-                    Request.Version,
-                    {},
-                    Request.VersionAge});
+  for (const AnnouncedVersion &A : Request.Announced)
+    onRelease(Now, {Request.Model, Request.Adapter, A.Version, {}, A.Age});
   if (Request.Prefetch) {
     if (!ready(Now, Request) && Prefetches.size() < Opts.maxWaiting())
       Prefetches.push_back({std::move(Request), Now, Now + PrefetchExpiry,
--- a/admission/side_admission.h
+++ b/admission/side_admission.h
@@ -30,6 +30,7 @@
 #include "base/log_class.h"
 #include "base/rate_limit.h"
 #include "catalog/types.h"
+#include "catalog/version_times.h"
 
 namespace goldcrestlink {
 
@@ -42,10 +43,9 @@
   std::string Model;
   /// Empty for the base model itself.
   std::string Adapter;
-  /// Newest version that the entry knows of; 0 if none was announced.
-  uint64_t Version = 0;
-  /// Time since the announcement of that version; see WeightRelease::Age.
-  Duration VersionAge{};
+  /// The newest announced version that the entry knows of, and others that
+  /// were announced lately, by version; empty if none was announced.
+  std::vector<AnnouncedVersion> Announced;
   uint32_t Rank = 0;
   uint32_t PromptTokens = 0;
   uint32_t OutputTokens = 0;
@@ -265,12 +265,6 @@
     Time LoadBy;
   };
 
-  struct AnnouncedVersion {
-    uint64_t Version = 0;
-    // From this time on, no request is granted on an older version.
-    Time RequiredFrom{};
-  };
-
   struct AdapterState {
     uint64_t Version = 0;
     // True while the adapter is being loaded and no version of it is held.
@@ -336,7 +330,8 @@
   SidePort &Port;
   EngineSpec Spec;
   bool HasSpec = false;
-  std::map<std::string, AnnouncedVersion> Announced;
+  // The times from which no request is granted on an older version.
+  std::map<std::string, VersionTimes> RequiredVersions;
   EngineReport Report;
   bool Reachable = false;
   Time ReportedAt{};
--- a/admission/testing/side_admission_test.cc
+++ b/admission/testing/side_admission_test.cc
@@ -466,8 +466,7 @@
         continue;
       }
       AdmissionRequest Request = request(++Id, "a");
-      Request.Version = 2;
-      Request.VersionAge = T.Age;
+      Request.Announced = {{2, T.Age}};
       Request.Prefetch = true;
       S.Admission.onAdmissionRequest(at(T.Ms), Request);
     }
@@ -476,6 +475,53 @@
   }
 }
 
+// Guards against a version that is not required while newer ones are announced.
+TEST_CASE("each version is required from its own announcement, whatever is "
+          "announced after it") {
+  using std::chrono::milliseconds;
+  struct Row {
+    const char *Name;
+    // When the side is told of versions 2, 3 and so on, and their ages then.
+    std::vector<std::pair<int64_t, std::vector<Duration>>> Reports;
+    bool ByRequests;
+  };
+  // At 5,000 ms, version 2 has been announced 4,900 ms ago.
+  const Row Rows[] = {
+      {"told of each at once",
+       {{100, {milliseconds(0)}},
+        {1600, {milliseconds(1500), milliseconds(0)}},
+        {3100, {milliseconds(3000), milliseconds(1500), milliseconds(0)}},
+        {4600,
+         {milliseconds(4500), milliseconds(3000), milliseconds(1500),
+          milliseconds(0)}}},
+       false},
+      {"told of all late",
+       {{4900, {milliseconds(4800), milliseconds(0)}}},
+       false},
+      {"told of all late by a request",
+       {{4900, {milliseconds(4800), milliseconds(0)}}},
+       true},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    Side S({{"a", 1}});
+    for (const auto &[Ms, Ages] : R.Reports) {
+      AdmissionRequest Request = request(10, "a");
+      Request.Prefetch = true;
+      uint64_t Version = 2;
+      for (const Duration Age : Ages) {
+        if (!R.ByRequests)
+          S.Admission.onRelease(at(Ms), {"m", "a", Version, {}, Age});
+        Request.Announced.push_back({Version++, Age});
+      }
+      if (R.ByRequests)
+        S.Admission.onAdmissionRequest(at(Ms), Request);
+    }
+    S.Admission.onAdmissionRequest(at(5000), request(1, "a"));
+    CHECK(S.Port.Replies[1] != Verdict::Go);
+  }
+}
+
 TEST_CASE("the most urgent waiting request is granted when capacity is freed") {
   Side S({{"a", 1}});
   for (uint64_t Id = 1; Id <= 4; ++Id)
--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -160,12 +160,10 @@
 
 bool Catalog::applyRelease(Time Now, const WeightRelease &Release) {
   KnownRelease &Known = Releases[releaseKey(Release.Model, Release.Adapter)];
+  Known.Announced.add(Now, Release.Version, Now - Release.Age);
   if (Release.Version < Known.Release.Version)
     return false;
   const bool IsNewer = Release.Version > Known.Release.Version;
-  const Time AnnouncedBy = Now - Release.Age;
-  Known.AnnouncedBy =
-      IsNewer ? AnnouncedBy : std::min(Known.AnnouncedBy, AnnouncedBy);
   // A version that is announced again, in a later era, is sent to processes
   // that know the store only from then on.
   if (IsNewer || Release.Revision > Known.Release.Revision) {
@@ -214,10 +212,12 @@
     Out.Upstreams.push_back(std::move(Change));
   }
   for (const auto &[Key, R] : Releases)
-    if (R.Release.Revision > Known.Releases) {
-      Out.Releases.push_back(R.Release);
-      Out.Releases.back().Age = Now - R.AnnouncedBy;
-    }
+    if (R.Release.Revision > Known.Releases)
+      for (const VersionTimes::Step &S : R.Announced.steps()) {
+        WeightRelease &Release = Out.Releases.emplace_back(R.Release);
+        Release.Version = S.Version;
+        Release.Age = Now - S.From;
+      }
   return Out;
 }
 
@@ -273,10 +273,14 @@
   return Known ? Known->Release.Version : 0;
 }
 
-Duration Catalog::releaseAge(Time Now, std::string_view Model,
-                             std::string_view Adapter) const {
-  const KnownRelease *Known = releaseOf(Model, Adapter);
-  return Known ? Now - Known->AnnouncedBy : Duration(0);
+std::vector<AnnouncedVersion>
+Catalog::announced(Time Now, std::string_view Model,
+                   std::string_view Adapter) const {
+  std::vector<AnnouncedVersion> Out;
+  if (const KnownRelease *Known = releaseOf(Model, Adapter))
+    for (const VersionTimes::Step &S : Known->Announced.steps())
+      Out.push_back({S.Version, Now - S.From});
+  return Out;
 }
 
 } // namespace goldcrestlink
--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -23,6 +23,7 @@
 #include <vector>
 
 #include "catalog/types.h"
+#include "catalog/version_times.h"
 
 namespace goldcrestlink {
 
@@ -141,9 +142,9 @@
   /// The newest announced version; 0 if none was announced.
   uint64_t releasedVersion(std::string_view Model,
                            std::string_view Adapter) const;
-  /// How long ago the newest version was announced, at least; zero if none was.
-  Duration releaseAge(Time Now, std::string_view Model,
-                      std::string_view Adapter) const;
+  /// The versions that were announced lately, by version, and the newest one.
+  std::vector<AnnouncedVersion> announced(Time Now, std::string_view Model,
+                                          std::string_view Adapter) const;
   const std::map<std::string, UpstreamRecord> &upstreams() const {
     return Upstreams;
   }
@@ -165,9 +166,10 @@
     StoreRevision Changed;
   };
   struct KnownRelease {
+    // The newest.
     WeightRelease Release;
-    // It was announced by then.
-    Time AnnouncedBy{};
+    // Each version was announced by its time.
+    VersionTimes Announced;
   };
   struct Pending {
     Time Until;
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -170,6 +170,14 @@
   CHECK(A.since(at(1), B.revisions()).Releases.empty());
 }
 
+namespace {
+
+std::vector<AnnouncedVersion> versionsAt(const Catalog &Known, int64_t Ms) {
+  return Known.announced(at(Ms), "m", "a1");
+}
+
+} // namespace
+
 TEST_CASE("the age of a release is counted from the announcement, also by a "
           "process that learns of it late") {
   struct Report {
@@ -180,24 +188,34 @@
   struct Row {
     const char *Name;
     std::vector<Report> Reports;
-    // At 5,000 ms.
-    int64_t AgeMs;
+    // At 5,000 ms: versions and their ages.
+    std::vector<std::pair<uint64_t, int64_t>> Expected;
   };
   const Row Rows[] = {
-      {"none", {}, 0},
-      {"new", {{1000, 2, 0}}, 4000},
-      {"known to others for a while", {{4000, 2, 3000}}, 4000},
+      {"none", {}, {}},
+      {"new", {{1000, 2, 0}}, {{2, 4000}}},
+      {"known to others for a while", {{4000, 2, 3000}}, {{2, 4000}}},
       {"told again by one that knows it longer",
        {{4000, 2, 0}, {4500, 2, 2000}},
-       2500},
+       {{2, 2500}}},
       {"told again by one that has just learnt it",
        {{4000, 2, 3000}, {4500, 2, 0}},
-       4000},
-      {"followed by a newer one", {{1000, 2, 3000}, {4500, 3, 100}}, 600},
-      {"followed by an older one", {{1000, 2, 0}, {4500, 1, 4000}}, 4000},
+       {{2, 4000}}},
+      {"followed by a newer one",
+       {{1000, 2, 3000}, {4500, 3, 100}},
+       {{2, 7000}, {3, 600}}},
+      {"followed by an older one that was announced before",
+       {{4000, 3, 0}, {4500, 2, 4000}},
+       {{2, 4500}, {3, 1000}}},
+      {"followed by an older one that was not known before",
+       {{1000, 3, 0}, {4500, 2, 0}},
+       {{3, 4000}}},
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
+    std::vector<AnnouncedVersion> Expected;
+    for (const auto &[Version, Ms] : R.Expected)
+      Expected.push_back({Version, std::chrono::milliseconds(Ms)});
     Catalog Known;
     for (const Report &P : R.Reports)
       Known.applyRelease(at(P.Ms), {"m",
@@ -205,12 +223,11 @@
                                     P.Version,
                                     {1, 10 + P.Version},
                                     std::chrono::milliseconds(P.AgeMs)});
-    CHECK(Known.releaseAge(at(5000), "m", "a1") ==
-          std::chrono::milliseconds(R.AgeMs));
+    CHECK(versionsAt(Known, 5000) == Expected);
     Catalog Late;
     Late.applyUpdate(at(5000), Known.since(at(5000), Late.revisions()));
-    CHECK(Late.releaseAge(at(5100), "m", "a1") ==
-          std::chrono::milliseconds(R.Reports.empty() ? 0 : R.AgeMs + 100));
+    CHECK(versionsAt(Late, 5000) == Expected);
+    CHECK_FALSE(Late.revisions().lacks(Known.revisions()));
   }
 }
 
--- a/catalog/types.h
+++ b/catalog/types.h
@@ -126,7 +126,16 @@
   bool operator==(const UpstreamRecord &) const = default;
 };
 
-/// The newest announced version of an adapter, or of a base model if Adapter
+/// A version of an adapter or base model, and how long ago it was announced.
+struct AnnouncedVersion {
+  uint64_t Version = 0;
+  /// See WeightRelease::Age.
+  Duration Age{};
+
+  bool operator==(const AnnouncedVersion &) const = default;
+};
+
+/// An announced version of an adapter, or of a base model if Adapter
 /// is empty.
 struct WeightRelease {
   std::string Model;
--- a/daemon/admission_codec.cc
+++ b/daemon/admission_codec.cc
@@ -25,8 +25,16 @@
   Message.set_id(Request.Id);
   Message.set_model(Request.Model);
   Message.set_adapter(Request.Adapter);
-  Message.set_version(Request.Version);
-  Message.set_version_age_us(toWireAge(Request.VersionAge));
+  if (!Request.Announced.empty()) {
+    const AnnouncedVersion &Newest = Request.Announced.back();
+    Message.set_version(Newest.Version);
+    Message.set_version_age_us(toWireAge(Newest.Age));
+    for (const AnnouncedVersion &A : Request.Announced)
+      if (A.Version < Newest.Version) {
+        Message.add_older_versions(A.Version);
+        Message.add_older_age_us(toWireAge(A.Age));
+      }
+  }
   Message.set_rank(Request.Rank);
   Message.set_prompt_tokens(Request.PromptTokens);
   Message.set_output_tokens(Request.OutputTokens);
@@ -51,8 +59,14 @@
   Request.Id = Message.id();
   Request.Model = Message.model();
   Request.Adapter = Message.adapter();
-  Request.Version = Message.version();
-  Request.VersionAge = fromWireAge(Message.version_age_us());
+  for (int I = 0;
+       I < std::min(Message.older_versions_size(), Message.older_age_us_size());
+       ++I)
+    Request.Announced.push_back(
+        {Message.older_versions(I), fromWireAge(Message.older_age_us(I))});
+  if (Message.version() > 0)
+    Request.Announced.push_back(
+        {Message.version(), fromWireAge(Message.version_age_us())});
   Request.Rank = Message.rank();
   Request.PromptTokens = Message.prompt_tokens();
   Request.OutputTokens = Message.output_tokens();
--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -309,9 +309,8 @@
     Admission.Id = NextAdmissionId++;
     Admission.Model = Required.Model;
     Admission.Adapter = Required.Adapter;
-    Admission.Version = Required.Version;
-    Admission.VersionAge =
-        CurrentCatalog->releaseAge(Now, Required.Model, Required.Adapter);
+    Admission.Announced =
+        CurrentCatalog->announced(Now, Required.Model, Required.Adapter);
     Admission.Prefetch = true;
     Port.requestAdmission(*C.Upstream, Admission);
   }
@@ -341,10 +340,8 @@
   Admission.Id = Call.AdmissionId;
   Admission.Model = Call.Request.Inference.Model;
   Admission.Adapter = Call.Request.Inference.Adapter;
-  Admission.Version =
-      CurrentCatalog->releasedVersion(Admission.Model, Admission.Adapter);
-  Admission.VersionAge =
-      CurrentCatalog->releaseAge(Now, Admission.Model, Admission.Adapter);
+  Admission.Announced =
+      CurrentCatalog->announced(Now, Admission.Model, Admission.Adapter);
   // Before streams that have not begun: they have waited in vain already.
   Admission.Rank = continuesStream(Call) ? 0 : Call.Rank;
   Admission.PromptTokens = Call.Request.Inference.PromptTokens;
