A version that was announced at an unknown time does not count as new

Cause: an entry took each version that it read for one announced at that moment, and passed it on with that age. The store's records have no time of their own.

Ruled out: that the age could be bounded by the last answer of the store. A watch waits for seconds, so with that bound each version would count as old and all sides would replace it at once.

Fix: a version found in a list, or by the first watch after failed calls, counts as announced long ago, so sides require it at once, unless another process has seen its announcement.

--- a/catalog/catalog.cc
+++ b/catalog/catalog.cc
@@ -160,7 +160,10 @@
 
 bool Catalog::applyRelease(Time Now, const WeightRelease &Release) {
   KnownRelease &Known = Releases[releaseKey(Release.Model, Release.Adapter)];
-  Known.Announced.add(Now, Release.Version, Now - Release.Age);
+  // An age that some process knows is kept when another does not know it.
+  if (Release.Age < WeightRelease::LongAgo ||
+      !Known.Announced.from(Release.Version))
+    Known.Announced.add(Now, Release.Version, Now - Release.Age);
   if (Release.Version < Known.Release.Version)
     return false;
   const bool IsNewer = Release.Version > Known.Release.Version;
--- a/catalog/testing/catalog_test.cc
+++ b/catalog/testing/catalog_test.cc
@@ -172,6 +172,8 @@
 
 namespace {
 
+constexpr int64_t LongAgoMs = WeightRelease::LongAgo.count() / 1000;
+
 std::vector<AnnouncedVersion> versionsAt(const Catalog &Known, int64_t Ms) {
   return Known.announced(at(Ms), "m", "a1");
 }
@@ -201,6 +203,12 @@
       {"told again by one that has just learnt it",
        {{4000, 2, 3000}, {4500, 2, 0}},
        {{2, 4000}}},
+      {"told again by one that does not know since when",
+       {{4000, 2, 0}, {4500, 2, LongAgoMs}},
+       {{2, 1000}}},
+      {"told first by one that does not know since when",
+       {{4000, 2, LongAgoMs}, {4500, 2, 0}},
+       {{2, LongAgoMs + 1000}}},
       {"followed by a newer one",
        {{1000, 2, 3000}, {4500, 3, 100}},
        {{2, 7000}, {3, 600}}},
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -74,9 +74,13 @@
                            const std::vector<StoreObject> &List) {
     logList(platform::kinds::Releases, Revision, List);
     for (const StoreObject &Object : List)
-      onRelease(Object);
+      onRelease(Object, WeightRelease::LongAgo);
   };
-  Releases.OnChange = [this](const StoreObject &Object) { onRelease(Object); };
+  Releases.OnRecovered = [this] { ReleasesMayBeOld = true; };
+  Releases.OnChange = [this](const StoreObject &Object) {
+    onRelease(Object, ReleasesMayBeOld ? WeightRelease::LongAgo : Duration(0));
+  };
+  Releases.OnCurrent = [this](Time) { ReleasesMayBeOld = false; };
   Store.watch(platform::kinds::Releases, std::move(Releases));
 }
 
@@ -183,7 +187,8 @@
   scheduleDeferredCheck();
 }
 
-void StoreWatcher::onRelease(const platform::StoreObject &Object) {
+void StoreWatcher::onRelease(const platform::StoreObject &Object,
+                             Duration Age) {
   if (Object.Removed)
     return;
   auto Record = platform::decodeRelease(Object.Content);
@@ -194,6 +199,7 @@
   }
   Unreadable.remove(platform::kinds::Releases, Object.Name);
   Record->Revision = Object.Revision;
+  Record->Age = Age;
   const CatalogRevisions Before = KnownCatalog.revisions();
   const bool IsNewer = KnownCatalog.applyRelease(currentTime().Steady, *Record);
   // Digests announce the revision also if the version is known already.
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -59,7 +59,9 @@
   void onUpstreams(StoreRevision Revision,
                    const std::vector<platform::StoreObject> &List);
   void onUpstream(const platform::StoreObject &Object);
-  void onRelease(const platform::StoreObject &Object);
+  /// \p Age: how long ago the store may have got the object; see
+  /// WeightRelease::Age.
+  void onRelease(const platform::StoreObject &Object, Duration Age);
   /// Logs an unreadable object once.
   void noteUnreadable(std::string_view Kind,
                       const platform::StoreObject &Object,
@@ -80,6 +82,9 @@
   OnCurrent NotifyCurrent;
   bool InContact = true;
   bool NotificationPending = false;
+  // The releases that are reported next were made at any time since calls for
+  // them began to fail.
+  bool ReleasesMayBeOld = false;
 };
 
 } // namespace goldcrestlink
