--- a/catalog/version_times.h
+++ b/catalog/version_times.h
@@ -27,11 +27,12 @@
     bool operator==(const Step &) const = default;
   };
 
-  /// If there are more, the oldest are not told apart: the newest of them
-  /// counts from the time of the first.
+  /// If there are more, the two oldest are not told apart: the newer one counts
+  /// from the time of the older one. Enough for one a second over the five
+  /// seconds that the platform allows for the switch to a version.
   static constexpr size_t MaxSteps = 8;
-  /// A version that has counted for this long makes the time of the older ones
-  /// irrelevant.
+  /// A version that has counted for this long, twice the time that the platform
+  /// allows for the switch, makes the times of the older ones irrelevant.
   static constexpr Duration MaxAge = std::chrono::seconds(10);
 
   /// \p Version counts from \p From on, unless it counts sooner already.
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -82,8 +82,8 @@
   OnCurrent NotifyCurrent;
   bool InContact = true;
   bool NotificationPending = false;
-  // The releases that are reported next were made at any time since calls for
-  // them began to fail.
+  // The releases that are reported next may have been made at any time since
+  // calls for them began to fail.
   bool ReleasesMayBeOld = false;
 };
 
