Store stand-in: decodes queries and continues lists by order

It compared the encoded form of each name with the text in the query, so a client that encodes wrongly in the same way passed, and it continued a list only behind a name that still exists. Queries are now decoded with a function of the stand-ins, lists are in byte order of the names, and a page also ends at 1 MB. New fault: every page of a list is the first one.

--- a/testing/standin_support.h
+++ b/testing/standin_support.h
@@ -1,5 +1,5 @@
 // Helpers that the stand-ins share: timers, calls across threads, parsing of
-// numbers, and the header of JSON responses.
+// numbers and queries, and the header of JSON responses.
 //
 //   runLater(Io, std::chrono::milliseconds(10), [] { ... });
 #ifndef GOLDCRESTLINK_TESTING_STANDIN_SUPPORT_H
@@ -10,6 +10,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <string>
 #include <string_view>
 
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,25 @@
   return Number;
 }
 
+/// \p Text with "+" and percent-encoded bytes of a query decoded. What is no
+/// valid encoding stays as it is.
+inline std::string decodeQueryValue(std::string_view Text) {
+  constexpr int HexBase = 16;
+  std::string Out;
+  for (size_t I = 0; I < Text.size(); ++I) {
+    unsigned char Byte = 0;
+    const char *const Digits = Text.data() + I + 1;
+    if (Text[I] == '%' && I + 2 < Text.size() &&
+        std::from_chars(Digits, Digits + 2, Byte, HexBase).ptr == Digits + 2) {
+      Out += static_cast<char>(Byte);
+      I += 2;
+    } else {
+      Out += Text[I] == '+' ? ' ' : Text[I];
+    }
+  }
+  return Out;
+}
+
 inline http::Headers jsonType() {
   return {{"Content-Type", "application/json"}};
 }
--- a/testing/store_standin.cc
+++ b/testing/store_standin.cc
@@ -1,3 +1,6 @@
+// A list is in byte order of the names and goes on behind the name in the
+// query, whether an object has that name or not.
+//
 // A watch stays open until the next change of its kind, and is then answered
 // with all changes since the revision that it named. A watch that is already
 // behind is answered at once, and any other after its maximum wait.
@@ -193,6 +196,7 @@
                                    const ResponderPtr &Responder) {
   switch (Fault) {
   case StoreFault::None:
+  case StoreFault::FirstPageOnly:
     return false;
   case StoreFault::Unavailable:
     Responder->respond(503, headers(), "");
@@ -223,26 +227,31 @@
                          const ResponderPtr &Responder) {
   const std::string Kind(Request.path().substr(Prefix.size()));
   if (Request.query("watch").empty())
-    return list(Kind, Request.query("after"), Responder);
+    return list(Kind,
+                Fault == StoreFault::FirstPageOnly
+                    ? ""
+                    : decodeQueryValue(Request.query("after")),
+                Responder);
   watch({Kind, parseNumber(Request.query("watch")), Responder},
         std::chrono::milliseconds(parseNumber(Request.query("wait_ms"))));
 }
 
-void StoreStandIn::list(const std::string &Kind, std::string_view After,
+void StoreStandIn::list(const std::string &Kind, const std::string &After,
                         const ResponderPtr &Responder) const {
   std::vector<std::string> Items;
-  bool Begun = After.empty();
+  size_t Bytes = 0;
   bool Truncated = false;
-  if (const auto It = Objects.find(Kind); It != Objects.end())
-    for (const auto &[Name, Object] : It->second) {
-      if (!Begun) {
-        Begun = http::encodeQueryValue(Name) == After;
-        continue;
-      }
-      Truncated = Items.size() == PageSize;
+  if (const auto Found = Objects.find(Kind); Found != Objects.end())
+    for (auto It = After.empty() ? Found->second.begin()
+                                 : Found->second.upper_bound(After);
+         It != Found->second.end(); ++It) {
+      std::string Item = textOf(It->second);
+      Bytes += Item.size();
+      Truncated =
+          Items.size() == PageSize || (!Items.empty() && Bytes > MaxPageBytes);
       if (Truncated)
         break;
-      Items.push_back(textOf(Object));
+      Items.push_back(std::move(Item));
     }
   Responder->respond(200, headers(),
                      "{\"items\":" + joined(Items) +
--- a/testing/store_standin.h
+++ b/testing/store_standin.h
@@ -37,7 +37,9 @@
   /// With a body that is not valid JSON.
   Garbage,
   /// With a part of the body, after which the connection is closed.
-  Truncated
+  Truncated,
+  /// Every page of a list with the first one.
+  FirstPageOnly
 };
 
 /// Not thread-safe: to be used on the thread that runs its io_context.
@@ -80,6 +82,8 @@
   uint64_t revision() const { return Revision; }
 
   static constexpr auto SlowAnswer = std::chrono::milliseconds(1500);
+  /// The size of the objects on a page, unless the first alone is larger.
+  static constexpr size_t MaxPageBytes = 1024 * 1024;
   /// Copies of the state that are kept, one for each change.
   static constexpr size_t MaxCopies = 512;
 
@@ -116,7 +120,7 @@
   void serve(const http::Request &Request, const ResponderPtr &Responder);
   void store(const std::string &Kind, const std::string &Name,
              nlohmann::json Object);
-  void list(const std::string &Kind, std::string_view After,
+  void list(const std::string &Kind, const std::string &After,
             const ResponderPtr &Responder) const;
   void watch(PendingWatch Pending, std::chrono::milliseconds MaxWait);
   void runAfter(std::chrono::milliseconds Delay,
