--- a/daemon/fleet_entry.cc
+++ b/daemon/fleet_entry.cc
@@ -110,6 +110,7 @@
         {"store_reached", Store.inContact() ? 1 : 0},
         {"store_era", Store.storeEra()},
         {"store_objects_unreadable_total", Store.unreadableObjects()},
+        {"store_lists_unfinished_total", Store.unfinishedLists()},
         {"upstreams_era", Known.revisions().Upstreams.Era},
         {"config_version", Known.revisions().Config},
         {"upstreams_revision", Known.revisions().Upstreams.Number},
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -97,11 +97,17 @@
 platform::WatchHandlers StoreWatcher::handlersFor(std::string_view Kind) {
   platform::WatchHandlers Out;
   Out.OnLeftOut = [this, Kind](size_t Count, const std::string &Why) {
-    // What is wrong stands for the objects, which have no readable name.
+    // Objects are told apart by what is wrong with them, since some have no
+    // readable name.
     if (Unreadable.add(Kind, Why))
       Log("store kind=" + std::string(Kind) + " outcome=left_out objects=" +
           std::to_string(Count) + " why=\"" + Why + "\"");
   };
+  Out.OnUnfinished = [this, Kind](int Pages, std::string_view Why) {
+    ++UnfinishedLists;
+    Log("store kind=" + std::string(Kind) + " outcome=list_unfinished pages=" +
+        std::to_string(Pages) + " why=\"" + std::string(Why) + "\"");
+  };
   return Out;
 }
 
--- a/daemon/store_watcher.h
+++ b/daemon/store_watcher.h
@@ -57,6 +57,8 @@
   /// Number of unreadable objects found since the start; one that is read again
   /// is not counted again.
   uint64_t unreadableObjects() const { return Unreadable.total(); }
+  /// Number of lists since the start that could not be read to their end.
+  uint64_t unfinishedLists() const { return UnfinishedLists; }
 
 private:
   void logList(std::string_view Kind, StoreRevision Revision,
@@ -86,6 +88,7 @@
   boost::asio::steady_timer DeferredTimer;
   Catalog KnownCatalog;
   UnreadableObjects Unreadable;
+  uint64_t UnfinishedLists = 0;
   OnChanged NotifyChanged;
   OnLog Log;
   OnCurrent NotifyCurrent;
--- a/testing/odd_record_test.cc
+++ b/testing/odd_record_test.cc
@@ -31,6 +31,31 @@
          std::string(Depth, '[') + std::string(Depth, ']') + "}";
 }
 
+// From the start of all processes until requests are served (recover_s).
+constexpr double RecoverSeconds = 12;
+
+void restartAll(PlatformDeployment &System) {
+  for (const char *Name : {"entry0", "entry1", "side0", "side1"})
+    System.kill(Name);
+  for (size_t I = 0; I < System.Engines.size(); ++I)
+    System.startSide("side" + std::to_string(I), System.Engines[I]);
+  for (const int I : {0, 1})
+    System.startEntry(I);
+}
+
+// Whether each kind of call is served at each entry in time.
+bool allServed(PlatformDeployment &System) {
+  return eventually(
+      [&] {
+        for (const size_t Entry : {0, 1})
+          if (System.call(Entry, "/read/x").Head.Status != 200 ||
+              System.call(Entry, "/stream/x", "a1").Head.Status != 200)
+            return false;
+        return true;
+      },
+      RecoverSeconds);
+}
+
 struct OddRow {
   const char *Name;
   std::string Spec;
@@ -94,3 +119,26 @@
       CHECK(System.ready(Entry));
   }
 }
+
+// Guards against processes that read no list to its end when they start, at a
+// page without a usable name.
+TEST_CASE("all processes serve after a restart while objects with odd names "
+          "stand among those of the upstreams") {
+  for (const size_t PageSize : {1, 3}) {
+    CAPTURE(PageSize);
+    PlatformDeployment System;
+    System.Platform.setStorePageSize(PageSize);
+    REQUIRE(allServed(System));
+    for (const char *Name : {"a &", "a +", "a #", "a %", "e0 x", "p&", "p+",
+                             "p#", "p%", "p/../x", "p\xc3\xa9"})
+      System.Platform.putUpstreamObjectText(
+          Name,
+          R"({"metadata":{"name":")" + std::string(Name) +
+              R"(","revision":5},"spec":{"service":"plain","slots":"x"}})");
+    restartAll(System);
+    CHECK(allServed(System));
+    for (const char *Host : {"127.0.2.1", "127.0.2.2"})
+      CHECK(System.metric(Host, "goldcrestlink_store_lists_unfinished_total") ==
+            "0");
+  }
+}
