Test: a copy of an upstream's record under another name hides none

An object with a good record but another name, at the address of an upstream, is used once by each entry: the upstream answers 421 to the id that it does not have, and the record is not used again.

--- a/testing/odd_record_test.cc
+++ b/testing/odd_record_test.cc
@@ -142,3 +142,25 @@
             "0");
   }
 }
+
+// Guards against an upstream that another record at its address hides.
+TEST_CASE("a copy of an upstream's record under another name hides none") {
+  for (const char *Suffix : {"&x", "+", "#", "%20", " x"}) {
+    CAPTURE(Suffix);
+    PlatformDeployment System;
+    REQUIRE(allServed(System));
+    for (const size_t I : {0, 1})
+      System.Platform.putUpstream("e" + std::to_string(I) + Suffix, "engines",
+                                  System.Engines[I]);
+    System.Platform.putUpstream("p" + std::string(Suffix), "plain",
+                                System.Platform.address("p"));
+    restartAll(System);
+    REQUIRE(allServed(System));
+    for (int I = 0; I < Calls; ++I)
+      for (const size_t Entry : {0, 1}) {
+        CHECK(System.call(Entry, "/read/x").Head.Status == 200);
+        CHECK(System.call(Entry, "/stream/x", "a" + std::to_string(1 + I % 3))
+                  .Head.Status == 200);
+      }
+  }
+}
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -227,6 +227,10 @@
   });
 }
 
+http::Endpoint PlatformStandIn::address(const std::string &Name) const {
+  return onThread([&] { return Impl->at(Name).spec().Published; });
+}
+
 void PlatformStandIn::drain(const std::string &Name) {
   onThread([&] {
     Impl->at(Name).setDraining(currentTime().Steady);
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -62,6 +62,8 @@
   /// Writes the record of an upstream that the test runs itself.
   void putUpstream(const std::string &Id, const std::string &Service,
                    const http::Endpoint &Address);
+  /// The address in the upstream's record.
+  http::Endpoint address(const std::string &Name) const;
   /// Sets the upstream's record in the store to draining or to ready, or
   /// removes the record.
   void drain(const std::string &Name);
