An answer that names an instance with odd characters names none

What callers would see: after an upstream has answered that it leaves, with an id that is not UTF-8, entries that start later send requests to other upstreams that leave as well, until their records show it.

Cause: the id was passed on as received. A message between processes whose string is not UTF-8 cannot be parsed, and one message holds all upstreams that leave. The loads of an engine whose id is odd were lost in the same way.

Not shown with real programs. Found while all readers of answers were checked.

--- a/forward/call.h
+++ b/forward/call.h
@@ -77,7 +77,8 @@
 
 /// What an upstream says of itself in any answer.
 struct UpstreamNotice {
-  /// Id of the incarnation that answers; empty if the answer does not name it.
+  /// Id of the incarnation that answers; empty if the answer names none or one
+  /// that no upstream can have.
   std::string InstanceId;
   /// It leaves and wants no further requests.
   bool Leaving = false;
