Control characters cannot end a line of the log

What operators would see: a record of an upstream whose software version holds a line break wrote a second line of its own choice into the log of each entry, for instance the end of a request.

Cause: texts of records, releases and answers went into lines as received. The log now replaces control characters in every line, where all lines pass.

Evidence: decision_log_test "what another process or writer has named cannot end a line" failed before. Names of objects were safe already: only printable ones without blanks are used.

--- a/daemon/decision_log.cc
+++ b/daemon/decision_log.cc
@@ -42,6 +42,11 @@
 }
 
 void DecisionLog::push(LogClass Class, std::string Line) {
+  // Lines hold texts of records and messages, which must not look like lines.
+  std::replace_if(
+      Line.begin(), Line.end(),
+      [](char C) { return static_cast<unsigned char>(C) < ' ' || C == '\x7f'; },
+      '?');
   if (!Queues[index(Class)].try_push(withTimestamp(Line)))
     Dropped[index(Class)].fetch_add(1, std::memory_order_relaxed);
 }
--- a/daemon/testing/decision_log_test.cc
+++ b/daemon/testing/decision_log_test.cc
@@ -92,3 +92,18 @@
   Log.finish(Start);
   CHECK(Out.countContaining("end") + Dropped == LineCount);
 }
+
+TEST_CASE("what another process or writer has named cannot end a line") {
+  LineCollector Out;
+  DecisionLog Log(Rate, Out.sink());
+  Log.push(LogClass::Kept,
+           "upstream id=a software=v1\nend id=r\r\t\x1b[2J\x7f" +
+               std::string(1, '\0') + "\xc3\xa9 revision=4");
+  Log.drain(Start);
+  REQUIRE(Out.Lines.size() == 1);
+  CHECK(std::none_of(Out.Lines[0].begin(), Out.Lines[0].end(), [](char C) {
+    return static_cast<unsigned char>(C) < ' ' || C == '\x7f';
+  }));
+  CHECK(Out.countContaining(
+            "software=v1?end id=r???[2J??\xc3\xa9 revision=4") == 1);
+}
