Only an object named after its adapter announces a version of it

What callers would see: an object of another writer among the announcements, with the fields of one and a higher version, made every request for that adapter require a version that no engine has, so that none was served.

Cause: the name of the object was not looked at. The name of an object that announces a version of a base model is not documented and not checked.

Evidence: store_list_test "an object that is not named after its adapter announces nothing": 20 of 55 checks failed before, in lists and in watches. Found while all readers of the store were checked.

--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -212,7 +212,7 @@
                              Duration Age) {
   if (Object.Removed)
     return;
-  auto Record = platform::decodeRelease(Object.Content);
+  auto Record = platform::decodeRelease(Object.Name, Object.Content);
   if (!Record) {
     noteUnreadable(platform::kinds::Releases, Object,
                    "announces no version of weights");
--- a/daemon/testing/store_list_test.cc
+++ b/daemon/testing/store_list_test.cc
@@ -347,3 +347,42 @@
                         return Line.find("a%20%22b%0D%0A") != std::string::npos;
                       }) == 1);
 }
+
+// Guards against a version that no engine has, so that every request for the
+// adapter is refused.
+TEST_CASE("an object that is not named after its adapter announces nothing") {
+  struct Row {
+    const char *Name;
+    bool Announces;
+  };
+  const Row Rows[] = {{"m.a1", true},    {"m.a1&x", false},  {"m.a1+", false},
+                      {"m.a1#", false},  {"m.a1%20", false}, {"m.a2", false},
+                      {"m", false},      {"a1", false},      {"m/a1", false},
+                      {"m.a1.x", false}, {"x.a1", false}};
+  const auto announcing = [](int Version) -> Json {
+    return {{"model", "m"}, {"adapter", "a1"}, {"version", Version}};
+  };
+  for (const Row &R : Rows)
+    for (const bool IsWatched : {false, true}) {
+      CAPTURE(R.Name);
+      CAPTURE(IsWatched);
+      WatchedStore System;
+      System.Store.put("versions", "m.a1", announcing(2));
+      const auto releasedVersion = [&] {
+        return System.Watcher->catalog().releasedVersion("m", "a1");
+      };
+      if (IsWatched) {
+        System.start();
+        REQUIRE(System.runUntil([&] { return releasedVersion() == 2; }));
+      }
+      System.Store.put("versions", R.Name, announcing(9));
+      System.Store.put("versions", "z.a1",
+                       {{"model", "z"}, {"adapter", "a1"}, {"version", 1}});
+      if (!IsWatched)
+        System.start();
+      REQUIRE(System.runUntil([&] {
+        return System.Watcher->catalog().releasedVersion("z", "a1") == 1;
+      }));
+      CHECK(releasedVersion() == (R.Announces ? 9 : 2));
+    }
+}
