--- a/daemon/testing/store_list_test.cc
+++ b/daemon/testing/store_list_test.cc
@@ -249,7 +249,7 @@
 TEST_CASE("objects with odd names do not keep the configuration from being "
           "confirmed by short reads") {
   constexpr auto MaxAge = std::chrono::milliseconds(400);
-  const auto configOf = [](int Version) -> Json {
+  const auto ConfigOf = [](int Version) -> Json {
     return {{"version", Version},
             {"routes", Json::array()},
             {"services", Json::array()},
@@ -259,7 +259,7 @@
     CAPTURE(Row.What);
     WatchedStore System;
     System.Store.setPageSize(1);
-    System.Store.put("config", "main", configOf(1));
+    System.Store.put("config", "main", ConfigOf(1));
     size_t Confirmations = 0;
     System.start([&](StoreWatcher &Watcher) {
       Watcher.confirmConfigEvery(MaxAge);
@@ -268,7 +268,7 @@
     REQUIRE(System.runUntil([&] { return Confirmations > 0; }));
     const std::string Name = "z" + Row.Part;
     System.putNamed("config", Name, quoted(Name), "{}");
-    System.Store.put("config", "main", configOf(2));
+    System.Store.put("config", "main", ConfigOf(2));
     const size_t Before = Confirmations;
     CHECK(System.runUntil([&] {
       return System.Watcher->catalog().revisions().Config == 2 &&
@@ -359,7 +359,7 @@
                       {"m.a1#", false},  {"m.a1%20", false}, {"m.a2", false},
                       {"m", false},      {"a1", false},      {"m/a1", false},
                       {"m.a1.x", false}, {"x.a1", false}};
-  const auto announcing = [](int Version) -> Json {
+  const auto Announcing = [](int Version) -> Json {
     return {{"model", "m"}, {"adapter", "a1"}, {"version", Version}};
   };
   for (const Row &R : Rows)
@@ -367,15 +367,15 @@
       CAPTURE(R.Name);
       CAPTURE(IsWatched);
       WatchedStore System;
-      System.Store.put("versions", "m.a1", announcing(2));
-      const auto releasedVersion = [&] {
+      System.Store.put("versions", "m.a1", Announcing(2));
+      const auto ReleasedVersion = [&] {
         return System.Watcher->catalog().releasedVersion("m", "a1");
       };
       if (IsWatched) {
         System.start();
-        REQUIRE(System.runUntil([&] { return releasedVersion() == 2; }));
+        REQUIRE(System.runUntil([&] { return ReleasedVersion() == 2; }));
       }
-      System.Store.put("versions", R.Name, announcing(9));
+      System.Store.put("versions", R.Name, Announcing(9));
       System.Store.put("versions", "z.a1",
                        {{"model", "z"}, {"adapter", "a1"}, {"version", 1}});
       if (!IsWatched)
@@ -383,6 +383,6 @@
       REQUIRE(System.runUntil([&] {
         return System.Watcher->catalog().releasedVersion("z", "a1") == 1;
       }));
-      CHECK(releasedVersion() == (R.Announces ? 9 : 2));
+      CHECK(ReleasedVersion() == (R.Announces ? 9 : 2));
     }
 }
