--- a/review/bed-2.h
+++ b/review/bed-2.h
@@ -615,6 +615,13 @@
     Running.erase(Name);
   }
 
+  /// Waits for processes that were killed.
+  void forgetEnded() {
+    for (const auto &[Name, Id] : Running)
+      waitpid(Id, nullptr, 0);
+    Running.clear();
+  }
+
   bool hasEnded(const std::string &Name) {
     return waitpid(Running.at(Name), nullptr, WNOHANG) != 0;
   }
