--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -56,6 +56,7 @@
   std::atomic<int> Long{0};
   for (int I = 0; I < LongStreams; ++I) {
     Clients.emplace_back([&, I] {
+      B.Log.line("client: l" + std::to_string(I) + " is sent");
       const Answer A =
           call(Other,
                modelRequest("l" + std::to_string(I), "/stream/x", "a1", 12000),
