--- a/review/bed-2.h
+++ b/review/bed-2.h
@@ -389,20 +389,21 @@
     addChange(Kind, objectText(Name, Last, Revision), true);
   }
 
-  /// Cuts off the watches that are waiting.
+  /// Cuts off the watches that are waiting; returns how many.
   size_t cutWatches() {
     const std::lock_guard Lock(Guard);
-    size_t Count = 0;
-    for (Connection *C : Waiting) {
+    for (const auto &[C, Kind] : Waiting)
       C->shut();
-      ++Count;
-    }
+    const size_t Count = Waiting.size();
+    Waiting.clear();
     return Count;
   }
 
   size_t watching(const std::string &Kind) {
     const std::lock_guard Lock(Guard);
-    return WaitingKinds[Kind];
+    return static_cast<size_t>(
+        std::count_if(Waiting.begin(), Waiting.end(),
+                      [&](const auto &W) { return W.second == Kind; }));
   }
 
 private:
@@ -467,14 +468,12 @@
         Clock::now() +
         std::chrono::milliseconds(
             std::stoll(R.query("wait_ms").empty() ? "0" : R.query("wait_ms")));
-    Waiting.insert(&C);
-    ++WaitingKinds[Kind];
+    Waiting[&C] = Kind;
     std::string Events;
     while ((Events = eventsSince(Kind, Since)).empty() &&
            Changed.wait_until(Lock, Until) != std::cv_status::timeout)
       ;
     Waiting.erase(&C);
-    --WaitingKinds[Kind];
     const std::string Body = R"({"events":[)" + Events +
                              R"(],"store_revision":)" +
                              std::to_string(Revision) + "}";
@@ -487,8 +486,7 @@
   uint64_t Revision = 1;
   std::map<std::string, std::map<std::string, Object>> Objects;
   std::vector<Change> Changes;
-  std::set<Connection *> Waiting;
-  std::map<std::string, size_t> WaitingKinds;
+  std::map<Connection *, std::string> Waiting;
   HttpServer Server;
 };
 
