--- a/review/bed-2.h
+++ b/review/bed-2.h
@@ -520,6 +520,8 @@
     start();
     signal(SIGPIPE, SIG_IGN);
     alarm(MaxSeconds);
+    // Also if the script that runs the case is killed.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     std::filesystem::create_directories(Folder);
     const char *Wanted = std::getenv("TROUBLE");
     Trouble = !Wanted || std::string(Wanted) != "0";
