Servers log and count each connection that they close, with the reason

A request whose connection is closed without an answer left no trace: a server closes connections in 17 places, and none of them logged or counted it. Each now has a reason, and a line tells what stood on the connection: the stage of its request, the bytes read and not handled, and those unread in the kernel. Lines of connections on which a request was lost are kept, the others routine.

The same in every server: callers, readiness, metrics, own interface and status of its sides. No decision changes.

--- a/daemon/entry_daemon.cc
+++ b/daemon/entry_daemon.cc
@@ -88,6 +88,7 @@
     Sinks.Log = [this](LogClass Class, std::string Line) {
       Log.push(Class, std::move(Line));
     };
+    Sinks.Closes = std::make_shared<http::CloseLog>("callers", Sinks.Log);
     Sinks.Record = [this](entry::RequestRecord R) {
       Metrics.push(std::move(R));
     };
@@ -96,12 +97,13 @@
       boost::asio::post(
           Io, [this, Peer, Message] { onControlMessage(Peer, Message); });
     };
-    Sinks.Metrics = [this](std::function<void(std::string)> Done) {
-      boost::asio::post(Io, [this, Done] {
-        Metrics.collect();
-        Done(Metrics.text());
-      });
-    };
+    Sinks.Metrics =
+        [this, Closes = Sinks.Closes](std::function<void(std::string)> Done) {
+          boost::asio::post(Io, [this, Closes, Done] {
+            Metrics.collect();
+            Done(Metrics.text() + Closes->metrics());
+          });
+        };
     for (int64_t I = 0; I < ProcessSettings.TrafficThreads; ++I)
       Workers.push_back(
           std::make_unique<EntryWorker>(ProcessSettings, static_cast<size_t>(I),
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -81,6 +81,9 @@
         std::shared_ptr<MemoryBudget> InMemory, TrafficSinks InSinks)
       : ProcessSettings(InSettings), Memory(std::move(InMemory)),
         Sinks(std::move(InSinks)),
+        CallerCloses(std::make_shared<http::CloseLog>("callers", Sinks.Log)),
+        ReadinessCloses(
+            std::make_shared<http::CloseLog>("readiness", Sinks.Log)),
         CallerServer(Io, ProcessSettings.Listen, serverOptions(CallerLimits()),
                      [this](http::Request Request,
                             std::shared_ptr<http::Responder> Answer) {
@@ -90,7 +93,8 @@
                         http::ServerOptions()
                             .setMaxBodyBytes(ControlBodyBytes)
                             .setMaxConnections(ControlConnections)
-                            .setMemory(Memory),
+                            .setMemory(Memory)
+                            .setCloseLog(ReadinessCloses),
                         [this](http::Request Request,
                                std::shared_ptr<http::Responder> Answer) {
                           onReadiness(Request, *Answer);
@@ -133,7 +137,8 @@
         .setIdleTimeout(Limits.IdleTime)
         .setBodyPause(Limits.IdleTime)
         .setMemory(Memory)
-        .setMaxConnections(callerDescriptors(ProcessSettings.MaxConnections));
+        .setMaxConnections(callerDescriptors(ProcessSettings.MaxConnections))
+        .setCloseLog(CallerCloses);
   }
 
   // The time of an event for the Forwarder. Tells it first how long the machine
@@ -621,7 +626,7 @@
     for (const auto &[Name, Value] : Values)
       Out += std::string("goldcrestlink_") + Name + " " +
              std::to_string(Value) + "\n";
-    return Out;
+    return Out + CallerCloses->metrics() + ReadinessCloses->metrics();
   }
 
   void publish(std::shared_ptr<const Catalog> NewCatalog) {
@@ -648,6 +653,8 @@
   Settings ProcessSettings;
   std::shared_ptr<MemoryBudget> Memory;
   TrafficSinks Sinks;
+  std::shared_ptr<http::CloseLog> CallerCloses;
+  std::shared_ptr<http::CloseLog> ReadinessCloses;
   boost::asio::io_context Io{1};
   zmq::context_t Context{1};
   http::Server CallerServer;
--- a/daemon/entry_worker.cc
+++ b/daemon/entry_worker.cc
@@ -26,12 +26,14 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(5);
 constexpr const char *JsonType = "application/json";
 
-http::ServerOptions serverOptions(const Settings &ProcessSettings) {
+http::ServerOptions serverOptions(const Settings &ProcessSettings,
+                                  std::shared_ptr<http::CloseLog> Closes) {
   return http::ServerOptions()
       .setMaxHeaderBytes(static_cast<size_t>(ProcessSettings.MaxHeaderBytes))
       .setMaxBodyBytes(static_cast<size_t>(ProcessSettings.MaxBodyBytes))
       .setMaxConnections(static_cast<size_t>(ProcessSettings.MaxConnections))
-      .setReusePort(ProcessSettings.TrafficThreads > 1);
+      .setReusePort(ProcessSettings.TrafficThreads > 1)
+      .setCloseLog(std::move(Closes));
 }
 
 entry::EntryStateMachine::Options
@@ -54,7 +56,8 @@
               [this](const std::string &Upstream, wire::Envelope &Message) {
                 onMessage(Upstream, Message);
               }),
-        Listener(Io, ProcessSettings.Listen, serverOptions(ProcessSettings),
+        Listener(Io, ProcessSettings.Listen,
+                 serverOptions(ProcessSettings, Sinks.Closes),
                  [this](http::Request Request,
                         std::shared_ptr<http::Responder> Answer) {
                    onHttp(std::move(Request), std::move(Answer));
--- a/daemon/entry_worker.h
+++ b/daemon/entry_worker.h
@@ -18,6 +18,7 @@
 #include "config/declarations.h"
 #include "config/settings.h"
 #include "entry/actions.h"
+#include "http/close_log.h"
 #include "wire/generated/messages.pb.h"
 
 namespace zmq {
@@ -35,6 +36,8 @@
   std::function<void(const std::string &Peer, const wire::Envelope &)> Control;
   /// Requests the text of the metrics page; the callback may run on any thread.
   std::function<void(std::function<void(std::string)>)> Metrics;
+  /// Of all workers together.
+  std::shared_ptr<http::CloseLog> Closes;
 };
 
 /// run() belongs to one thread; the other methods are thread-safe.
--- a/daemon/process_control.cc
+++ b/daemon/process_control.cc
@@ -26,6 +26,11 @@
     : Io(InIo), Current(InSettings), File(std::move(InFile)),
       On(std::move(InHandlers)), Log(InSettings.LogLinesPerSecond),
       Signals(InIo, SIGTERM, SIGINT, SIGHUP), DrainTimer(InIo),
+      MetricsCloses(std::make_shared<http::CloseLog>(
+          "metrics",
+          [this](LogClass Class, std::string Line) {
+            log(Class, std::move(Line));
+          })),
       MetricsServer(
           InIo,
           {InSettings.Fleet.Address,
@@ -33,14 +38,16 @@
           http::ServerOptions()
               .setMaxBodyBytes(ControlBodyBytes)
               .setMaxConnections(ControlConnections)
-              .setMemory(std::move(Memory)),
+              .setMemory(std::move(Memory))
+              .setCloseLog(MetricsCloses),
           [this](http::Request Request,
                  std::shared_ptr<http::Responder> Answer) {
             if (Request.path() != "/metrics")
               return Answer->respond(404, {}, "");
             On.OnMetrics([this, Answer](std::string Page) {
-              boost::asio::post(Io, [Answer, Page = std::move(Page)] {
-                Answer->respond(200, {{"Content-Type", "text/plain"}}, Page);
+              boost::asio::post(Io, [this, Answer, Page = std::move(Page)] {
+                Answer->respond(200, {{"Content-Type", "text/plain"}},
+                                Page + MetricsCloses->metrics());
               });
             });
           }),
--- a/daemon/process_control.h
+++ b/daemon/process_control.h
@@ -58,6 +58,7 @@
   DecisionLog Log;
   boost::asio::signal_set Signals;
   boost::asio::steady_timer DrainTimer;
+  std::shared_ptr<http::CloseLog> MetricsCloses;
   http::Server MetricsServer;
   Time NextFileCheck{};
 };
--- a/daemon/side_daemon.cc
+++ b/daemon/side_daemon.cc
@@ -54,7 +54,13 @@
             }),
         Status(Platform, ProcessSettings.Cell), Signals(Io, SIGTERM, SIGINT),
         StepTimer(Io), Traffic(ProcessSettings, Seed, Context, makeSinks()),
-        Listener(Io, ProcessSettings.Listen, http::ServerOptions(),
+        ListenerCloses(std::make_shared<http::CloseLog>(
+            "status",
+            [this](LogClass Class, std::string Line) {
+              Log.push(Class, std::move(Line));
+            })),
+        Listener(Io, ProcessSettings.Listen,
+                 http::ServerOptions().setCloseLog(ListenerCloses),
                  [this](http::Request R, std::shared_ptr<http::Responder> A) {
                    onHttp(R, *A);
                  }) {}
@@ -343,6 +349,7 @@
       RankLine("stalled_total", R.Stalled);
       RankLine("stalled_us_total", R.StalledUs);
     }
+    Out << ListenerCloses->metrics();
     Answer.respond(200, {{"Content-Type", "text/plain"}}, Out.str());
   }
 
@@ -357,6 +364,7 @@
   boost::asio::signal_set Signals;
   boost::asio::steady_timer StepTimer;
   SideTraffic Traffic;
+  std::shared_ptr<http::CloseLog> ListenerCloses;
   http::Server Listener;
   std::unique_ptr<ShardLeaseManager> ShardLeases;
   wire::MembershipNotice Membership;
--- a/http/server.cc
+++ b/http/server.cc
@@ -79,6 +79,8 @@
   void listen(const Endpoint &Listen);
   void accept();
   void onAccepted(Tcp::socket Socket);
+  // Reports a connection that is closed before it is one of Connections.
+  void reportRefused(Tcp::socket &Socket, CloseReason Reason);
   void stop();
   // Closes the connections that have no request in progress.
   void closeIdle();
@@ -124,8 +126,14 @@
     finishRequest();
   }
 
-  // Reserves room for the connection; false if there is none.
-  bool admit() { return Room.resize(ConnectionBytes, MemoryClaim::Small); }
+  // Reserves room for the connection; closes it and returns false if there is
+  // none.
+  bool admit() {
+    const bool HasRoom = Room.resize(ConnectionBytes, MemoryClaim::Small);
+    if (!HasRoom)
+      close(CloseReason::NoRoom);
+    return HasRoom;
+  }
 
   void readRequest() {
     Parser.emplace();
@@ -147,9 +155,11 @@
         Buffer.prepare(FirstReadBytes),
         [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
           Self->AwaitsRequest = false;
-          Self->Cancelled = false;
+          Self->FirstBytes = Bytes;
           if (Error)
-            return Self->close();
+            return Self->closeIdle(Error);
+          Self->FirstBytes = 0;
+          Self->Cancelled = false;
           Self->Buffer.commit(Bytes);
           Self->readHeader();
         });
@@ -172,7 +182,7 @@
   // For lack of room or descriptors.
   void closeForOthers() {
     if (!AwaitsRequest)
-      return close();
+      return close(CloseReason::YieldedStalled);
     Cancelled = true;
     Stream.cancel();
   }
@@ -190,7 +200,7 @@
 
   void closeIfIdle() {
     if (!InRequest && Unsent.empty())
-      close();
+      close(CloseReason::ServerEnded);
   }
 
   void respond(unsigned Status, const Headers &Fields,
@@ -242,13 +252,13 @@
     if (!Unsent.empty())
       return;
     OnDisconnect = nullptr;
-    close();
+    close(CloseReason::Answered);
   }
 
   void abort() override {
     CloseAfterFlush = true;
     if (Unsent.empty() || EndsWithConnection)
-      close();
+      close(CloseReason::Aborted);
   }
 
   void onDisconnect(std::function<void()> Callback) override {
@@ -353,7 +363,7 @@
           if (Self->isRefusedAtStop(Error))
             return Self->reject(503, "stopping");
           if (Error)
-            return Self->close();
+            return Self->closeReading(Error, CloseReason::BodyTimeout);
           Self->LastProgress = currentTime().Steady;
           Self->Buffer.commit(Bytes);
           Self->parseBody();
@@ -426,7 +436,7 @@
     if (isRefusedAtStop(Error))
       return reject(503, "stopping");
     if (Error)
-      return close();
+      return closeReading(Error, CloseReason::HeadTimeout);
     auto Message = Parser->release();
     KeepAlive = Message.keep_alive();
     Chunked = Message.version() >= 11;
@@ -439,13 +449,14 @@
     Out.BodyRoom = std::move(BodyRoom);
     Parser.reset();
     InRequest = true;
+    AnswerBegun = false;
     ResponseComplete = false;
     ++Owner->Active;
     Stream.expires_never();
     // If this process was paused, the caller may have disconnected long ago;
     // the handler must not start work for it.
     if (isClosedByPeer())
-      return close();
+      return close(CloseReason::CallerLeft);
     watchForDisconnect();
     Owner->OnRequest(std::move(Out), shared_from_this());
   }
@@ -504,7 +515,7 @@
             return;
           ErrorCode Bad;
           if (Self->Stream.socket().available(Bad) == 0)
-            Self->close();
+            Self->close(CloseReason::CallerLeft);
         });
   }
 
@@ -512,8 +523,11 @@
     if (Closed)
       return;
     UnsentBytes += Bytes.size();
-    if (UnsentBytes > Owner->Options.maxUnsentBytes() || !reserveAnswer())
-      return close();
+    if (UnsentBytes > Owner->Options.maxUnsentBytes())
+      return close(CloseReason::AnswerTooLarge);
+    if (!reserveAnswer())
+      return close(CloseReason::AnswerNoRoom);
+    AnswerBegun = true;
     Unsent.push_back(std::move(Bytes));
     if (Unsent.size() == 1) {
       LastProgress = currentTime().Steady;
@@ -542,7 +556,7 @@
     if (Closed)
       return;
     if (Error)
-      return close();
+      return close(CloseReason::WriteFailed);
     LastProgress = currentTime().Steady;
     Written += Bytes;
     if (Written < Unsent.front().size())
@@ -554,7 +568,7 @@
     if (!Unsent.empty())
       return writeNext();
     if (CloseAfterFlush)
-      return close();
+      return close(CloseReason::Aborted);
     if (!ResponseComplete || !InRequest)
       return;
     OnDisconnect = nullptr;
@@ -564,7 +578,7 @@
     // A response that began before the server stopped did not announce the
     // close, so KeepAlive may still be set.
     if (!KeepAlive || Owner->Stopping)
-      return close();
+      return close(CloseReason::Answered);
     readRequest();
   }
 
@@ -580,7 +594,8 @@
     Stream.async_read_some(
         Buffer.prepare(FirstReadBytes),
         [Self = shared_from_this()](ErrorCode Error, size_t) {
-          Error ? Self->close() : Self->readDiscarded();
+          Error ? Self->closeReading(Error, CloseReason::RefusalTimeout)
+                : Self->readDiscarded();
         });
   }
 
@@ -614,9 +629,51 @@
     --Owner->Active;
   }
 
-  void close() {
+  // A read of the first bytes of a request ended with \p Error.
+  void closeIdle(ErrorCode Error) {
+    if (Error == asio::error::operation_aborted)
+      return close(Cancelled ? CloseReason::YieldedIdle
+                             : CloseReason::Stopping);
+    closeReading(Error, CloseReason::IdleTimeout);
+  }
+
+  // A read ended with \p Error; \p AtTimeout is the reason if it took too long.
+  void closeReading(ErrorCode Error, CloseReason AtTimeout) {
+    const bool IsPeerGone = Error == asio::error::eof ||
+                            Error == bhttp::error::end_of_stream ||
+                            Error == bhttp::error::partial_message ||
+                            Error == asio::error::connection_reset;
+    close(Error == beast::error::timeout ? AtTimeout
+          : IsPeerGone                   ? CloseReason::PeerClosed
+                                         : CloseReason::ReadFailed);
+  }
+
+  ConnectionStage stage() const {
+    if (Rejected)
+      return ConnectionStage::Refused;
+    if (InRequest)
+      return AnswerBegun ? ConnectionStage::Answering
+                         : ConnectionStage::Waiting;
+    if (ReadsBody)
+      return ConnectionStage::Body;
+    return AwaitsRequest || Buffer.size() == 0 ? ConnectionStage::Idle
+                                               : ConnectionStage::Head;
+  }
+
+  void reportClose(CloseReason Reason) {
+    if (!Owner->Options.closeLog())
+      return;
+    ErrorCode Ignored;
+    Owner->Options.closeLog()->onClosed({Reason, stage(),
+                                         FirstBytes + Buffer.size(),
+                                         Stream.socket().available(Ignored),
+                                         currentTime().Steady - LastProgress});
+  }
+
+  void close(CloseReason Reason) {
     if (Closed)
       return;
+    reportClose(Reason);
     Closed = true;
     ErrorCode Ignored;
     // An orderly close would look like the end of such a response.
@@ -678,6 +735,10 @@
   bool InRequest = false;
   // The complete response is queued or sent.
   bool ResponseComplete = false;
+  // Of the first bytes of a request, until they are in the buffer.
+  size_t FirstBytes = 0;
+  // A byte of the response is queued or sent.
+  bool AnswerBegun = false;
   bool CloseAfterFlush = false;
   // The caller understands chunks.
   bool Chunked = true;
@@ -729,7 +790,7 @@
     // The idle one is closed when its read has ended, so the limit is exceeded
     // by one connection until then.
     if (!closeOldestIdle())
-      return;
+      return reportRefused(Socket, CloseReason::ConnectionLimit);
   }
   ErrorCode Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
@@ -741,6 +802,13 @@
   closeOldestIdle();
 }
 
+void Server::State::reportRefused(Tcp::socket &Socket, CloseReason Reason) {
+  ErrorCode Ignored;
+  if (Options.closeLog())
+    Options.closeLog()->onClosed(
+        {Reason, ConnectionStage::Idle, 0, Socket.available(Ignored), {}});
+}
+
 bool Server::State::closeOldestIdle() {
   Connection *Oldest = nullptr;
   for (Connection *C : Connections)
--- a/http/server.h
+++ b/http/server.h
@@ -14,6 +14,7 @@
 
 #include "base/memory_budget.h"
 #include "base/time.h"
+#include "http/close_log.h"
 #include "http/message.h"
 
 namespace boost::asio {
@@ -36,6 +37,12 @@
   Duration bodyPause() const { return BodyPause; }
   const std::shared_ptr<MemoryBudget> &memory() const { return Memory; }
   bool reusePort() const { return ReusePort; }
+  const std::shared_ptr<CloseLog> &closeLog() const { return Closes; }
+  /// Gets each connection that the server closes; may be null.
+  ServerOptions &setCloseLog(std::shared_ptr<CloseLog> Log) {
+    Closes = std::move(Log);
+    return *this;
+  }
   /// The longest time between the first bytes of a request and the end of its
   /// header.
   ServerOptions &setHeaderTimeout(Duration Timeout) {
@@ -95,6 +102,7 @@
   Duration BodyPause = std::chrono::seconds(15);
   std::shared_ptr<MemoryBudget> Memory;
   bool ReusePort = false;
+  std::shared_ptr<CloseLog> Closes;
 };
 
 /// Responds to one request. Not thread-safe: call all methods on the server's
