Failing test: requests that arrive while their entry stands still

The real programs: an entry is stopped by a signal, requests arrive, and when it goes on a timer has run out, others need the descriptor or the memory, or a stop closes idle connections.

--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -27,6 +27,7 @@
       EntryBounds(std::move(InEntryBounds)) {
   std::filesystem::create_directories(Folder);
   Platform.setBodyLimit(Limits.BodyBytes);
+  Platform.setIdleTime(Limits.IdleMs);
   if (!Organisations.empty())
     Platform.setOrganisations(std::move(Organisations));
   Platform.putConfig(1);
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -61,6 +61,8 @@
   size_t BodyBytes = 100000;
   /// From SIGTERM until an entry has to have ended.
   int StopSeconds = 30;
+  /// `idle_ms` of the configuration.
+  int IdleMs = 15000;
 };
 
 class PlatformDeployment {
--- a/testing/platform_standin.cc
+++ b/testing/platform_standin.cc
@@ -32,7 +32,7 @@
           {"max_attempts", PlatformStandIn::MaxAttempts}};
 }
 
-Json configSpec(int Version, bool Extra, size_t BodyBytes) {
+Json configSpec(int Version, bool Extra, size_t BodyBytes, int IdleMs) {
   Json Routes = {routeSpec("once", "non_idempotent", "plain"),
                  routeSpec("read", "idempotent", "plain"),
                  routeSpec("stream", "streaming", "engines")};
@@ -63,7 +63,7 @@
            {{"header_bytes", 16384},
             {"body_bytes", BodyBytes},
             {"header_ms", 3000},
-            {"idle_ms", 15000}}}};
+            {"idle_ms", IdleMs}}}};
 }
 
 Json serverRecord(const UpstreamStandIn &U) {
@@ -121,7 +121,7 @@
   }
 
   void writeConfig() {
-    Json Spec = configSpec(ConfigVersion, HasExtraRoute, BodyBytes);
+    Json Spec = configSpec(ConfigVersion, HasExtraRoute, BodyBytes, IdleMs);
     for (const OrganisationSpec &O : Organisations) {
       Json Organisation = {{"name", O.Name}, {"keys", O.Keys}};
       if (O.Rank)
@@ -141,6 +141,7 @@
 
   int ConfigVersion = 0;
   size_t BodyBytes = 100000;
+  int IdleMs = 15000;
   bool HasExtraRoute = false;
   std::vector<OrganisationSpec> Organisations;
   bool HasPublicRoute = false;
@@ -196,6 +197,10 @@
   onThread([&] { Impl->BodyBytes = Bytes; });
 }
 
+void PlatformStandIn::setIdleTime(int Ms) {
+  onThread([&] { Impl->IdleMs = Ms; });
+}
+
 void PlatformStandIn::addEngine(const std::string &Id,
                                 const std::string &Address, uint16_t Port) {
   add({Id, "engines", {Address, Port}, {Address, Port}, true});
--- a/testing/platform_standin.h
+++ b/testing/platform_standin.h
@@ -49,6 +49,7 @@
   void putConfig(int Version, bool Extra = false);
   /// Sets the largest body of a request in configurations written from now on.
   void setBodyLimit(size_t Bytes);
+  void setIdleTime(int Ms);
   /// Starts an engine and adds its record to the store. Precondition: the
   /// address is a loopback address.
   void addEngine(const std::string &Id, const std::string &Address,
