A deadline closes no connection on which bytes have arrived

Cause: beast::tcp_stream closes its socket when its time runs out, also if the read has completed and its handler is queued, or if the bytes lie unread in the kernel. After a pause both are due at once.

The server has its own deadline for each read now. When it runs out, the policy (connection_policy.h) keeps a connection on which bytes have arrived; otherwise the read is cancelled, and its handler decides, so that bytes that were read are never dropped. A request of which a part has arrived is refused with 408 rather than cut: it has not run. One timer per connection is moved only when it fires, where Beast armed one for each read.

--- a/http/server.cc
+++ b/http/server.cc
@@ -5,6 +5,11 @@
 // detected. The header, body and unsent-bytes limits bound the memory per
 // connection, and maxConnections() bounds the number of connections.
 //
+// A read has a deadline. When it runs out, the read is cancelled, and its
+// handler closes the connection or refuses the request unless bytes have
+// arrived: a process that got no processor time finds both at once. One timer
+// per connection is armed for the earliest deadline and moved when it fires.
+//
 // With a memory budget, room for a body is reserved before it is read: at once
 // for an announced length, step by step for chunks. If the budget is short,
 // connections that have stopped in the middle of a body are closed, then the
@@ -30,6 +35,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http.hpp>
 
+#include "http/connection_policy.h"
 #include "http/room_body.h"
 
 namespace goldcrestlink::http {
@@ -61,6 +67,8 @@
 // A client that is refused in the middle of its request gets this long to take
 // the answer; a close with unread bytes would discard it.
 constexpr Duration RefusalTime = std::chrono::seconds(1);
+// Time to read what had arrived when the time for it ran out.
+constexpr Duration ArrivedTime = std::chrono::seconds(1);
 // How often it is checked whether an answer is in the client's kernel.
 constexpr Duration DeliveryPoll = std::chrono::milliseconds(20);
 // Pause after a failed accept, for example for lack of descriptors: the
@@ -114,8 +122,8 @@
                    public std::enable_shared_from_this<Connection> {
 public:
   Connection(std::shared_ptr<Server::State> Owner, Tcp::socket Socket)
-      : Owner(std::move(Owner)), Stream(std::move(Socket)),
-        DeliveryTimer(this->Owner->Io),
+      : Owner(std::move(Owner)), Socket(std::move(Socket)),
+        DeadlineTimer(this->Owner->Io), DeliveryTimer(this->Owner->Io),
         Room(this->Owner->Options.memory(), MemoryKind::Connections),
         AnswerRoom(this->Owner->Options.memory(), MemoryKind::Answers) {
     this->Owner->Connections.insert(this);
@@ -150,12 +158,18 @@
     if (Buffer.size() > 0)
       return readHeader();
     expireAfter(Owner->Options.idleTimeout());
+    awaitRequest();
+  }
+
+  void awaitRequest() {
     AwaitsRequest = true;
-    Stream.async_read_some(
+    Socket.async_read_some(
         Buffer.prepare(FirstReadBytes),
         [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
           Self->AwaitsRequest = false;
           Self->FirstBytes = Bytes;
+          if (Self->takesUpRead(Error))
+            return Self->awaitRequest();
           if (Error)
             return Self->closeIdle(Error);
           Self->FirstBytes = 0;
@@ -168,8 +182,9 @@
   // Closes the connection unless a request has begun to arrive. The handler of
   // the read decides, since it may be queued with the bytes that were read.
   void cancelIfIdle() {
+    ErrorCode Ignored;
     if (AwaitsRequest)
-      Stream.cancel();
+      Socket.cancel(Ignored);
   }
 
   bool awaitsRequest() const { return AwaitsRequest && !Cancelled; }
@@ -184,7 +199,8 @@
     if (!AwaitsRequest)
       return close(CloseReason::YieldedStalled);
     Cancelled = true;
-    Stream.cancel();
+    ErrorCode Ignored;
+    Socket.cancel(Ignored);
   }
 
   // A request has begun to arrive and is not read to its end, or it was refused
@@ -194,8 +210,9 @@
   // Refuses a request that is arriving. The handler of the read does it, since
   // it may be queued with the end of the request.
   void refuseIncomplete() {
+    ErrorCode Ignored;
     if (isReceiving() && !Rejected)
-      Stream.cancel();
+      Socket.cancel(Ignored);
   }
 
   void closeIfIdle() {
@@ -266,8 +283,79 @@
   }
 
 private:
+  // The next read has to end within \p D.
   void expireAfter(Duration D) {
-    Stream.expires_after(std::chrono::nanoseconds(D));
+    Deadline = currentTime().Steady + D;
+    // A timer that is armed for an earlier time is armed anew when it fires:
+    // most reads end in time.
+    if (TimerAt == Time{} || Deadline < TimerAt)
+      armTimer();
+  }
+
+  void expireNever() { Deadline = Time::max(); }
+
+  void armTimer() {
+    TimerAt = Deadline;
+    DeadlineTimer.expires_at(Deadline);
+    DeadlineTimer.async_wait([Weak = weak_from_this()](ErrorCode Error) {
+      auto Self = Weak.lock();
+      if (!Self || Error || Self->Closed)
+        return;
+      Self->TimerAt = Time{};
+      Self->onDeadline(currentTime().Steady);
+    });
+  }
+
+  void onDeadline(Time Now) {
+    if (Deadline == Time::max())
+      return;
+    switch (stepAtDeadline(Now, Deadline, stage(), hasArrived())) {
+    case DeadlineStep::Wait:
+      if (Now >= Deadline)
+        Deadline = Now + ArrivedTime;
+      return armTimer();
+    case DeadlineStep::Close:
+    case DeadlineStep::Refuse:
+      return giveUp(timeoutReason());
+    }
+  }
+
+  CloseReason timeoutReason() const {
+    switch (stage()) {
+    case ConnectionStage::Head:
+      return CloseReason::HeadTimeout;
+    case ConnectionStage::Body:
+      return CloseReason::BodyTimeout;
+    case ConnectionStage::Refused:
+      return CloseReason::RefusalTimeout;
+    default:
+      return CloseReason::IdleTimeout;
+    }
+  }
+
+  // Ends the read in progress to close the connection, unless bytes arrive.
+  void giveUp(CloseReason Reason) {
+    GivingUp = Reason;
+    ErrorCode Ignored;
+    Socket.cancel(Ignored);
+  }
+
+  // Bytes of the client wait in the kernel.
+  bool hasArrived() const {
+    ErrorCode Ignored;
+    return Socket.available(Ignored) > 0;
+  }
+
+  // Whether a read that ended with \p Error is to be repeated: it was cancelled
+  // to give the connection up, but bytes have arrived meanwhile.
+  bool takesUpRead(ErrorCode Error) {
+    if (!Error)
+      GivingUp.reset();
+    if (Error != asio::error::operation_aborted || !GivingUp || !hasArrived())
+      return false;
+    GivingUp.reset();
+    expireAfter(ArrivedTime);
+    return true;
   }
 
   void readHeader() {
@@ -283,9 +371,15 @@
         !Room.resize(ConnectionBytes + Owner->Options.maxHeaderBytes(),
                      MemoryClaim::Small))
       return reject(503, "memory");
+    readRestOfHeader();
+  }
+
+  void readRestOfHeader() {
     bhttp::async_read_header(
-        Stream, Buffer, *Parser,
+        Socket, Buffer, *Parser,
         [Self = shared_from_this()](ErrorCode Error, size_t) {
+          if (Self->takesUpRead(Error))
+            return Self->readRestOfHeader();
           if (Error)
             return Self->onRead(Error);
           // With any other coding the length of the body would be ambiguous.
@@ -354,16 +448,20 @@
       return reject(503, "stopping");
     const Time Now = currentTime().Steady;
     expireAfter(std::min(Owner->Options.bodyPause(), BodyUntil - Now));
-    Stream.async_read_some(
+    readArrivedPart();
+  }
+
+  void readArrivedPart() {
+    Socket.async_read_some(
         Buffer.prepare(
             std::min(FirstReadBytes, Buffer.max_size() - Buffer.size())),
         [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
           if (Self->Closed)
             return;
-          if (Self->isRefusedAtStop(Error))
-            return Self->reject(503, "stopping");
+          if (Self->takesUpRead(Error))
+            return Self->readArrivedPart();
           if (Error)
-            return Self->closeReading(Error, CloseReason::BodyTimeout);
+            return Self->onRead(Error);
           Self->LastProgress = currentTime().Steady;
           Self->Buffer.commit(Bytes);
           Self->parseBody();
@@ -420,7 +518,6 @@
   }
 
   void onRead(ErrorCode Error) {
-    ReadsBody = false;
     if (Error == bhttp::error::buffer_overflow)
       return reject(431, "too_large");
     if (Error == bhttp::error::body_limit)
@@ -435,8 +532,11 @@
       return reject(400, "bad_request");
     if (isRefusedAtStop(Error))
       return reject(503, "stopping");
+    if (isTimeout(Error))
+      return reject(408, "timeout");
     if (Error)
-      return closeReading(Error, CloseReason::HeadTimeout);
+      return closeReading(Error);
+    ReadsBody = false;
     auto Message = Parser->release();
     KeepAlive = Message.keep_alive();
     Chunked = Message.version() >= 11;
@@ -452,7 +552,7 @@
     AnswerBegun = false;
     ResponseComplete = false;
     ++Owner->Active;
-    Stream.expires_never();
+    expireNever();
     // If this process was paused, the caller may have disconnected long ago;
     // the handler must not start work for it.
     if (isClosedByPeer())
@@ -466,6 +566,11 @@
     return Owner->RefuseIncomplete && Error == asio::error::operation_aborted;
   }
 
+  // Whether a read ended with \p Error because the request took too long.
+  bool isTimeout(ErrorCode Error) const {
+    return Error == asio::error::operation_aborted && GivingUp;
+  }
+
   // Answers a request that is not read to its end, and so has not run.
   void reject(unsigned Status, const char *Code) {
     ReadsBody = false;
@@ -494,9 +599,8 @@
   bool isClosedByPeer() {
     ErrorCode Error;
     char Byte;
-    Stream.socket().non_blocking(true, Error);
-    Stream.socket().receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek,
-                            Error);
+    Socket.non_blocking(true, Error);
+    Socket.receive(asio::buffer(&Byte, 1), Tcp::socket::message_peek, Error);
     return Error == asio::error::eof || Error == asio::error::connection_reset;
   }
 
@@ -505,18 +609,17 @@
   // Pipelined bytes end the watch and stay in the kernel until the next
   // readRequest().
   void watchForDisconnect() {
-    Stream.socket().async_wait(
-        Tcp::socket::wait_read,
-        [Weak = weak_from_this(),
-         RequestNumber = RequestNumber](ErrorCode Error) {
-          auto Self = Weak.lock();
-          if (!Self || Error || !Self->InRequest ||
-              Self->RequestNumber != RequestNumber)
-            return;
-          ErrorCode Bad;
-          if (Self->Stream.socket().available(Bad) == 0)
-            Self->close(CloseReason::CallerLeft);
-        });
+    Socket.async_wait(Tcp::socket::wait_read,
+                      [Weak = weak_from_this(),
+                       RequestNumber = RequestNumber](ErrorCode Error) {
+                        auto Self = Weak.lock();
+                        if (!Self || Error || !Self->InRequest ||
+                            Self->RequestNumber != RequestNumber)
+                          return;
+                        ErrorCode Bad;
+                        if (Self->Socket.available(Bad) == 0)
+                          Self->close(CloseReason::CallerLeft);
+                      });
   }
 
   void enqueue(std::string Bytes) {
@@ -545,7 +648,7 @@
   }
 
   void writeNext() {
-    Stream.socket().async_write_some(
+    Socket.async_write_some(
         asio::buffer(Unsent.front()) + Written,
         [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
           Self->onWritten(Error, Bytes);
@@ -585,25 +688,24 @@
   // Takes what the client still sends, so that it gets the answer.
   void discardRequest() {
     ErrorCode Ignored;
-    Stream.socket().shutdown(Tcp::socket::shutdown_send, Ignored);
+    Socket.shutdown(Tcp::socket::shutdown_send, Ignored);
     Buffer.clear();
     readDiscarded();
   }
 
   void readDiscarded() {
-    Stream.async_read_some(
+    Socket.async_read_some(
         Buffer.prepare(FirstReadBytes),
         [Self = shared_from_this()](ErrorCode Error, size_t) {
-          Error ? Self->closeReading(Error, CloseReason::RefusalTimeout)
-                : Self->readDiscarded();
+          Error || Self->GivingUp ? Self->closeReading(Error)
+                                  : Self->readDiscarded();
         });
   }
 
   // True if the client's kernel has not yet acknowledged all bytes.
   bool isUndelivered() {
     int Unacknowledged = 0;
-    return ioctl(Stream.socket().native_handle(), SIOCOUTQ, &Unacknowledged) ==
-               0 &&
+    return ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0 &&
            Unacknowledged > 0;
   }
 
@@ -612,7 +714,7 @@
   void awaitDelivery() {
     if (!isUndelivered()) {
       ErrorCode Ignored;
-      Stream.socket().close(Ignored);
+      Socket.close(Ignored);
       --Owner->Delivering;
       return;
     }
@@ -631,21 +733,19 @@
 
   // A read of the first bytes of a request ended with \p Error.
   void closeIdle(ErrorCode Error) {
-    if (Error == asio::error::operation_aborted)
+    if (Error == asio::error::operation_aborted && !GivingUp)
       return close(Cancelled ? CloseReason::YieldedIdle
                              : CloseReason::Stopping);
-    closeReading(Error, CloseReason::IdleTimeout);
+    closeReading(Error);
   }
 
-  // A read ended with \p Error; \p AtTimeout is the reason if it took too long.
-  void closeReading(ErrorCode Error, CloseReason AtTimeout) {
+  void closeReading(ErrorCode Error) {
     const bool IsPeerGone = Error == asio::error::eof ||
                             Error == bhttp::error::end_of_stream ||
                             Error == bhttp::error::partial_message ||
                             Error == asio::error::connection_reset;
-    close(Error == beast::error::timeout ? AtTimeout
-          : IsPeerGone                   ? CloseReason::PeerClosed
-                                         : CloseReason::ReadFailed);
+    close(IsPeerGone ? CloseReason::PeerClosed
+                     : GivingUp.value_or(CloseReason::ReadFailed));
   }
 
   ConnectionStage stage() const {
@@ -664,10 +764,9 @@
     if (!Owner->Options.closeLog())
       return;
     ErrorCode Ignored;
-    Owner->Options.closeLog()->onClosed({Reason, stage(),
-                                         FirstBytes + Buffer.size(),
-                                         Stream.socket().available(Ignored),
-                                         currentTime().Steady - LastProgress});
+    Owner->Options.closeLog()->onClosed(
+        {Reason, stage(), FirstBytes + Buffer.size(), Socket.available(Ignored),
+         currentTime().Steady - LastProgress});
   }
 
   void close(CloseReason Reason) {
@@ -675,18 +774,19 @@
       return;
     reportClose(Reason);
     Closed = true;
+    DeadlineTimer.cancel();
     ErrorCode Ignored;
     // An orderly close would look like the end of such a response.
     const bool IsCutShort = !ResponseComplete || !Unsent.empty();
     if (EndsWithConnection && IsCutShort)
-      Stream.socket().set_option(asio::socket_base::linger(true, 0), Ignored);
+      Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
     else
-      Stream.socket().shutdown(Tcp::socket::shutdown_both, Ignored);
+      Socket.shutdown(Tcp::socket::shutdown_both, Ignored);
     if (Owner->AnnounceClose && !IsCutShort && isUndelivered()) {
       ++Owner->Delivering;
       awaitDelivery();
     } else {
-      Stream.socket().close(Ignored);
+      Socket.close(Ignored);
     }
     // A write in progress still uses the first of them.
     while (Unsent.size() > 1)
@@ -703,13 +803,21 @@
   }
 
   std::shared_ptr<Server::State> Owner;
-  beast::tcp_stream Stream;
+  Tcp::socket Socket;
   beast::flat_buffer Buffer;
   std::optional<bhttp::request_parser<RoomBody>> Parser;
   // Of the request whose body is read.
   Headers Fields;
   std::shared_ptr<MemoryReservation> BodyRoom;
   Time BodyUntil{};
+  asio::steady_timer DeadlineTimer;
+  // Until when the read in progress has to end.
+  Time Deadline = Time::max();
+  // When DeadlineTimer fires, at Deadline or before; Time{}: not armed.
+  Time TimerAt{};
+  // The read in progress was cancelled to close the connection for this reason.
+  // Its handler decides, since it may be queued with bytes that were read.
+  std::optional<CloseReason> GivingUp;
   asio::steady_timer DeliveryTimer;
   MemoryReservation Room;
   MemoryReservation AnswerRoom;
