A connection yields to others, or to a stop, only if its client is silent

The connection that had been idle for longest was closed for others, and all idle ones at the end of accepting, without asking whether a request lay unread in the kernel. "Stalled for a second" was measured from when this process had last read, not from when the client had last sent.

The choice is code of its own (chooseYielding): the quietest connection whose client has sent nothing that was not read and takes no bytes that could be written. It asks the kernel about at most 16 connections. A connection that yields in the middle of a body frees its room at once, and its client is refused with 503 in place of a closed connection.

--- a/http/connection_policy.h
+++ b/http/connection_policy.h
@@ -4,10 +4,16 @@
 // stay there unread as long as the process gets no processor time.
 //
 //   switch (stepAtDeadline(Now, Deadline, Stage, HasArrived)) { ... }
+//   if (auto I = chooseYielding(Now, MinQuiet, Connections, IsSilent))
+//     giveUp(*I);
 #ifndef GOLDCRESTLINK_HTTP_CONNECTION_POLICY_H
 #define GOLDCRESTLINK_HTTP_CONNECTION_POLICY_H
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
 
 #include "base/time.h"
 #include "http/close_log.h"
@@ -28,6 +34,26 @@
 DeadlineStep stepAtDeadline(Time Now, Time Deadline, ConnectionStage Stage,
                             bool HasArrived);
 
+/// A connection that could yield to others.
+struct YieldCandidate {
+  /// When a byte was last read from the client, or taken by it.
+  Time LastProgress{};
+};
+
+/// The position of the candidate that yields: the one that has made no progress
+/// for longest, and for at least \p MinQuiet, and whose client is silent.
+/// \p IsSilent asks the kernel whether the client of a position has sent
+/// nothing that was not read, and takes no bytes that could be written; it is
+/// called at most MaxSilenceChecks times. nullopt if none of those is silent.
+/// Thread-safe.
+std::optional<size_t>
+chooseYielding(Time Now, Duration MinQuiet,
+               std::span<const YieldCandidate> Candidates,
+               const std::function<bool(size_t)> &IsSilent);
+
+/// A check is a call to the kernel.
+constexpr size_t MaxSilenceChecks = 16;
+
 } // namespace goldcrestlink::http
 
 #endif // GOLDCRESTLINK_HTTP_CONNECTION_POLICY_H
--- a/http/server.cc
+++ b/http/server.cc
@@ -25,6 +25,7 @@
 #include <unordered_set>
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <boost/asio/io_context.hpp>
@@ -92,11 +93,13 @@
   void stop();
   // Closes the connections that have no request in progress.
   void closeIdle();
-  // Closes the connection that has been idle for longest; false if none is.
+  // The connection that has been idle for longest yields; false if none is.
   bool closeOldestIdle();
-  // Closes the connection, other than \p Asking, that has stopped for longest
-  // in the middle of a body, or of reading an answer; false if none has.
+  // The connection, other than \p Asking, that has stopped for longest in the
+  // middle of a body, or of reading an answer, yields; false if none has.
   bool closeOldestStalled(const Connection *Asking);
+  bool yieldOldest(Duration MinQuiet, bool (Connection::*MayYield)() const,
+                   const Connection *Asking);
 
   asio::io_context &Io;
   Tcp::acceptor Acceptor;
@@ -171,36 +174,44 @@
           if (Self->takesUpRead(Error))
             return Self->awaitRequest();
           if (Error)
-            return Self->closeIdle(Error);
+            return Self->closeReading(Error);
           Self->FirstBytes = 0;
-          Self->Cancelled = false;
           Self->Buffer.commit(Bytes);
           Self->readHeader();
         });
   }
 
-  // Closes the connection unless a request has begun to arrive. The handler of
-  // the read decides, since it may be queued with the bytes that were read.
-  void cancelIfIdle() {
-    ErrorCode Ignored;
+  // Closes the connection unless a request has begun to arrive.
+  void closeAtStop() {
     if (AwaitsRequest)
-      Socket.cancel(Ignored);
+      giveUp(CloseReason::Stopping);
   }
 
-  bool awaitsRequest() const { return AwaitsRequest && !Cancelled; }
+  bool awaitsRequest() const { return AwaitsRequest && !GivingUp; }
   // Waits for bytes of a body or for its client to take an answer.
   bool awaitsClient() const {
-    return !Closed && (ReadsBody || UnsentBytes > 0);
+    return !Closed && !GivingUp && (ReadsBody || UnsentBytes > 0);
+  }
+  // The client has sent nothing that was not read, and takes no bytes that
+  // could be written. Otherwise this process is the one that is late.
+  bool isClientSilent() {
+    if (hasArrived())
+      return false;
+    pollfd Writable = {Socket.native_handle(), POLLOUT, 0};
+    return UnsentBytes == 0 || poll(&Writable, 1, 0) == 0;
   }
   Time lastProgress() const { return LastProgress; }
 
-  // For lack of room or descriptors.
-  void closeForOthers() {
-    if (!AwaitsRequest)
+  // For lack of room or descriptors. The room of a body and of an answer is
+  // free at once.
+  void yield() {
+    if (AwaitsRequest)
+      return giveUp(CloseReason::YieldedIdle);
+    if (!ReadsBody)
       return close(CloseReason::YieldedStalled);
-    Cancelled = true;
-    ErrorCode Ignored;
-    Socket.cancel(Ignored);
+    Parser->get().body() = {};
+    BodyRoom->shrink(0);
+    giveUp(CloseReason::YieldedStalled);
   }
 
   // A request has begun to arrive and is not read to its end, or it was refused
@@ -316,7 +327,11 @@
       return armTimer();
     case DeadlineStep::Close:
     case DeadlineStep::Refuse:
-      return giveUp(timeoutReason());
+      giveUp(timeoutReason());
+      // A read of several steps may go on with bytes that it had read before it
+      // was cancelled.
+      Deadline = Now + ArrivedTime;
+      return armTimer();
     }
   }
 
@@ -458,6 +473,9 @@
         [Self = shared_from_this()](ErrorCode Error, size_t Bytes) {
           if (Self->Closed)
             return;
+          // The body read so far is lost.
+          if (Self->GivingUp == CloseReason::YieldedStalled)
+            return Self->reject(503, "memory");
           if (Self->takesUpRead(Error))
             return Self->readArrivedPart();
           if (Error)
@@ -731,14 +749,6 @@
     --Owner->Active;
   }
 
-  // A read of the first bytes of a request ended with \p Error.
-  void closeIdle(ErrorCode Error) {
-    if (Error == asio::error::operation_aborted && !GivingUp)
-      return close(Cancelled ? CloseReason::YieldedIdle
-                             : CloseReason::Stopping);
-    closeReading(Error);
-  }
-
   void closeReading(ErrorCode Error) {
     const bool IsPeerGone = Error == asio::error::eof ||
                             Error == bhttp::error::end_of_stream ||
@@ -834,8 +844,6 @@
   bool KeepAlive = true;
   // Waits for the first byte of a request.
   bool AwaitsRequest = false;
-  // Is to be closed for others unless a request has begun to arrive.
-  bool Cancelled = false;
   bool ReadsBody = false;
   // The request in progress was refused before its end was read.
   bool Rejected = false;
@@ -917,27 +925,31 @@
         {Reason, ConnectionStage::Idle, 0, Socket.available(Ignored), {}});
 }
 
+bool Server::State::yieldOldest(Duration MinQuiet,
+                                bool (Connection::*MayYield)() const,
+                                const Connection *Asking) {
+  std::vector<Connection *> Eligible;
+  std::vector<YieldCandidate> Candidates;
+  for (Connection *C : Connections) {
+    if (C == Asking || !(C->*MayYield)())
+      continue;
+    Eligible.push_back(C);
+    Candidates.push_back({C->lastProgress()});
+  }
+  const auto Chosen =
+      chooseYielding(currentTime().Steady, MinQuiet, Candidates,
+                     [&](size_t I) { return Eligible[I]->isClientSilent(); });
+  if (Chosen)
+    Eligible[*Chosen]->yield();
+  return Chosen.has_value();
+}
+
 bool Server::State::closeOldestIdle() {
-  Connection *Oldest = nullptr;
-  for (Connection *C : Connections)
-    if (C->awaitsRequest() &&
-        (!Oldest || C->lastProgress() < Oldest->lastProgress()))
-      Oldest = C;
-  if (Oldest)
-    Oldest->closeForOthers();
-  return Oldest != nullptr;
+  return yieldOldest(Duration(0), &Connection::awaitsRequest, nullptr);
 }
 
 bool Server::State::closeOldestStalled(const Connection *Asking) {
-  const Time StalledSince = currentTime().Steady - StalledAfter;
-  Connection *Oldest = nullptr;
-  for (Connection *C : Connections)
-    if (C != Asking && C->awaitsClient() && C->lastProgress() < StalledSince &&
-        (!Oldest || C->lastProgress() < Oldest->lastProgress()))
-      Oldest = C;
-  if (Oldest)
-    Oldest->closeForOthers();
-  return Oldest != nullptr;
+  return yieldOldest(StalledAfter, &Connection::awaitsClient, Asking);
 }
 
 void Server::State::stop() {
@@ -947,7 +959,7 @@
   Acceptor.close(Ignored);
   AcceptTimer.cancel();
   for (Connection *C : Connections)
-    C->cancelIfIdle();
+    C->closeAtStop();
 }
 
 void Server::State::closeIdle() {
