Connections for which there is no place are refused in words

Where the limit of connections was reached and none was idle, or the memory budget had no room for a connection, a new one was closed at once, though its client may have sent a request with it. Up to 32 such connections are kept for a second, and their first request is refused with 503, which tells that it has not run. Further ones wait in the listener's queue.

--- a/http/server.cc
+++ b/http/server.cc
@@ -72,6 +72,9 @@
 constexpr Duration ArrivedTime = std::chrono::seconds(1);
 // How often it is checked whether an answer is in the client's kernel.
 constexpr Duration DeliveryPoll = std::chrono::milliseconds(20);
+// Connections for which there is no place, and whose first request is refused.
+// Further ones wait in the listener's queue.
+constexpr size_t MaxRefusing = 32;
 // Pause after a failed accept, for example for lack of descriptors: the
 // connection stays in the queue, and a new attempt would fail at once.
 constexpr Duration AcceptPause = std::chrono::milliseconds(50);
@@ -87,9 +90,8 @@
 
   void listen(const Endpoint &Listen);
   void accept();
+  void acceptLater();
   void onAccepted(Tcp::socket Socket);
-  // Reports a connection that is closed before it is one of Connections.
-  void reportRefused(Tcp::socket &Socket, CloseReason Reason);
   void stop();
   // Closes the connections that have no request in progress.
   void closeIdle();
@@ -111,6 +113,8 @@
   // Connections whose answer is written but not yet in the client's kernel.
   size_t Delivering = 0;
   uint64_t Refused = 0;
+  // Connections for which there is no place; they are among Connections.
+  size_t Refusing = 0;
   // No new connections are accepted.
   bool Stopping = false;
   // Responses carry "Connection: close".
@@ -134,16 +138,21 @@
 
   ~Connection() override {
     Owner->Connections.erase(this);
+    if (RefusedFor)
+      --Owner->Refusing;
     finishRequest();
   }
 
-  // Reserves room for the connection; closes it and returns false if there is
-  // none.
-  bool admit() {
-    const bool HasRoom = Room.resize(ConnectionBytes, MemoryClaim::Small);
-    if (!HasRoom)
-      close(CloseReason::NoRoom);
-    return HasRoom;
+  // Reserves room for the connection; false if there is none.
+  bool admit() { return Room.resize(ConnectionBytes, MemoryClaim::Small); }
+
+  // Refuses the first request, instead of admit(), since there is no place for
+  // the connection for the reason \p Why.
+  void refuse(CloseReason Why) {
+    RefusedFor = Why;
+    ++Owner->Refusing;
+    expireAfter(RefusalTime);
+    awaitRequest();
   }
 
   void readRequest() {
@@ -176,6 +185,8 @@
           if (Error)
             return Self->closeReading(Error);
           Self->FirstBytes = 0;
+          if (Self->RefusedFor)
+            return Self->reject(503, "busy");
           Self->Buffer.commit(Bytes);
           Self->readHeader();
         });
@@ -187,7 +198,9 @@
       giveUp(CloseReason::Stopping);
   }
 
-  bool awaitsRequest() const { return AwaitsRequest && !GivingUp; }
+  bool awaitsRequest() const {
+    return AwaitsRequest && !GivingUp && !RefusedFor;
+  }
   // Waits for bytes of a body or for its client to take an answer.
   bool awaitsClient() const {
     return !Closed && !GivingUp && (ReadsBody || UnsentBytes > 0);
@@ -344,7 +357,7 @@
     case ConnectionStage::Refused:
       return CloseReason::RefusalTimeout;
     default:
-      return CloseReason::IdleTimeout;
+      return RefusedFor.value_or(CloseReason::IdleTimeout);
     }
   }
 
@@ -828,6 +841,8 @@
   // The read in progress was cancelled to close the connection for this reason.
   // Its handler decides, since it may be queued with bytes that were read.
   std::optional<CloseReason> GivingUp;
+  // Why there is no place for the connection.
+  std::optional<CloseReason> RefusedFor;
   asio::steady_timer DeliveryTimer;
   MemoryReservation Room;
   MemoryReservation AnswerRoom;
@@ -882,47 +897,47 @@
 }
 
 void Server::State::accept() {
+  if (Refusing >= MaxRefusing)
+    return acceptLater();
   Acceptor.async_accept(
       [Self = shared_from_this()](ErrorCode Error, Tcp::socket Socket) {
         if (Self->Stopping)
           return;
         if (Error) {
           Self->closeOldestIdle();
-          Self->AcceptTimer.expires_after(AcceptPause);
-          Self->AcceptTimer.async_wait([Self](ErrorCode Cancelled) {
-            if (!Cancelled && !Self->Stopping)
-              Self->accept();
-          });
-          return;
+          return Self->acceptLater();
         }
         Self->onAccepted(std::move(Socket));
         Self->accept();
       });
 }
 
+void Server::State::acceptLater() {
+  AcceptTimer.expires_after(AcceptPause);
+  AcceptTimer.async_wait([Self = shared_from_this()](ErrorCode Cancelled) {
+    if (!Cancelled && !Self->Stopping)
+      Self->accept();
+  });
+}
+
 void Server::State::onAccepted(Tcp::socket Socket) {
-  if (Connections.size() >= Options.maxConnections()) {
-    ++Refused;
-    // The idle one is closed when its read has ended, so the limit is exceeded
-    // by one connection until then.
-    if (!closeOldestIdle())
-      return reportRefused(Socket, CloseReason::ConnectionLimit);
-  }
   ErrorCode Ignored;
   Socket.set_option(Tcp::no_delay(true), Ignored);
+  // The idle one is closed when its read has ended, so the limit is exceeded by
+  // one connection until then.
+  const bool IsFull = Connections.size() - Refusing >= Options.maxConnections();
+  const bool HasPlace = !IsFull || closeOldestIdle();
   auto New =
       std::make_shared<Connection>(shared_from_this(), std::move(Socket));
+  if (IsFull)
+    ++Refused;
+  if (!HasPlace)
+    return New->refuse(CloseReason::ConnectionLimit);
   if (New->admit())
     return New->readRequest();
   ++Refused;
   closeOldestIdle();
-}
-
-void Server::State::reportRefused(Tcp::socket &Socket, CloseReason Reason) {
-  ErrorCode Ignored;
-  if (Options.closeLog())
-    Options.closeLog()->onClosed(
-        {Reason, ConnectionStage::Idle, 0, Socket.available(Ignored), {}});
+  New->refuse(CloseReason::NoRoom);
 }
 
 bool Server::State::yieldOldest(Duration MinQuiet,
--- a/http/server.h
+++ b/http/server.h
@@ -69,7 +69,8 @@
     return *this;
   }
   /// When a connection is accepted above this number, the one that has been
-  /// idle for longest is closed, or the new one if none is idle.
+  /// idle for longest is closed; if none is idle, the first request of the new
+  /// one is refused with 503.
   ServerOptions &setMaxConnections(size_t Count) {
     MaxConnections = Count;
     return *this;
@@ -156,7 +157,7 @@
   /// After stopAccepting(): connections on which a request has begun to arrive,
   /// or an answer is not written yet, or not yet in the client's kernel.
   size_t undelivered() const;
-  /// Connections closed, or not accepted, because there were too many.
+  /// Connections that were accepted while there was no place for another one.
   uint64_t refusedConnections() const;
 
   struct State;
