Idle connections outlive the idle time that a client counts

The idle time began when the answer was written to the kernel, while its client counts from when it has read it: a slow reader used a connection, as it may, when 15.1 s of 15 had passed here. Idle connections are kept for half of the idle time longer; those that others need yield as before.

http_test, "a client that reads an answer late may use its connection again": failed before.

--- a/http/server.cc
+++ b/http/server.cc
@@ -68,6 +68,10 @@
 // A client that is refused in the middle of its request gets this long to take
 // the answer; a close with unread bytes would discard it.
 constexpr Duration RefusalTime = std::chrono::seconds(1);
+// An idle connection is kept for one part in so many of the idle time beyond
+// it: its client counts from when it has read the last answer, this process
+// from when it has written it.
+constexpr int IdleMarginPart = 2;
 // Time to read what had arrived when the time for it ran out.
 constexpr Duration ArrivedTime = std::chrono::seconds(1);
 // How often it is checked whether an answer is in the client's kernel.
@@ -169,7 +173,8 @@
     LastProgress = currentTime().Steady;
     if (Buffer.size() > 0)
       return readHeader();
-    expireAfter(Owner->Options.idleTimeout());
+    expireAfter(Owner->Options.idleTimeout() +
+                Owner->Options.idleTimeout() / IdleMarginPart);
     awaitRequest();
   }
 
--- a/http/server.h
+++ b/http/server.h
@@ -80,7 +80,8 @@
     MaxUnsentBytes = Bytes;
     return *this;
   }
-  /// A connection on which no request begins for this long is closed.
+  /// How long a client may leave a connection unused, from when it has read the
+  /// last answer. The server closes it somewhat later.
   ServerOptions &setIdleTimeout(Duration Timeout) {
     IdleTimeout = Timeout;
     return *this;
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -523,6 +523,32 @@
   }
 }
 
+// Guards against an idle time that begins when an answer is written, while its
+// client counts from when it has read it.
+TEST_CASE("a client that reads an answer late may use its connection again") {
+  constexpr Duration IdleTime = std::chrono::seconds(4);
+  // The client has read the answer late by this part of the idle time.
+  constexpr int LateParts = 10;
+  asio::io_context Io;
+  http::Server Server(Io, {"127.0.0.1", 0},
+                      http::ServerOptions().setIdleTimeout(IdleTime),
+                      [](http::Request, std::shared_ptr<http::Responder> R) {
+                        R->respond(200, {}, "done");
+                      });
+  asio::io_context CallerIo;
+  Tcp::socket Socket(CallerIo);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Server.port()});
+  constexpr std::string_view Request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  writeText(Socket, Request);
+  Io.run_for(IdleTime + IdleTime / LateParts);
+  writeText(Socket, Request);
+  Io.run_for(std::chrono::milliseconds(100));
+  std::string Answers(1000, ' ');
+  boost::system::error_code Error;
+  Answers.resize(Socket.read_some(asio::buffer(Answers), Error));
+  CHECK(Answers.find("done") != Answers.rfind("done"));
+}
+
 // Guards against a stop that cuts off uploads which could still be served, and
 // against requests that get no answer when the process ends.
 TEST_CASE("after stopAccepting(), a request that has begun to arrive is served "
