A complete answer that finds no room is replaced by a failure

Where an answer exceeded the limit for unsent bytes, or the memory budget had no room for it, its head was sent and the connection closed. The room for a complete answer is reserved before its head is queued now; without room the caller gets 502. Answers up to 1 KB need no room of their own, so that a refusal always finds it.

http_test, "a complete answer that finds no room is replaced by a failure": failed before, 2 of 3 rows.

--- a/http/server.cc
+++ b/http/server.cc
@@ -54,6 +54,9 @@
 constexpr size_t FirstReadBytes = 4096;
 // What a connection takes in the budget: its object, parser and first buffer.
 constexpr size_t ConnectionBytes = 8 * 1024;
+// Part of ConnectionBytes: answers up to this size need no room of their own,
+// so that a refusal always finds it.
+constexpr size_t CoveredAnswerBytes = 1024;
 // The read buffer also holds the end of a chunk before the next chunk's head.
 constexpr size_t BufferSlack = 256;
 // Requests and answers up to this size may use the room kept for small ones.
@@ -258,8 +261,13 @@
       Body.clear();
     else
       Response.content_length(Body.size());
-    ResponseComplete = true;
     std::string Head = serialise(Response);
+    if (Closed)
+      return;
+    if (Body.size() > CoveredAnswerBytes &&
+        !reserveAnswer(Head.size() + Body.size()))
+      return respondWithoutRoom();
+    ResponseComplete = true;
     if (Body.size() <= SmallBytes)
       return enqueue(std::move(Head) + Body);
     enqueue(std::move(Head));
@@ -323,6 +331,14 @@
 
   void expireNever() { Deadline = Time::max(); }
 
+  // In place of a complete answer that finds no room. The request may have run.
+  void respondWithoutRoom() {
+    KeepAlive = false;
+    respond(502, {{"Content-Type", "application/json"}},
+            "{\"error\":{\"code\":\"answer_too_large\","
+            "\"outcome\":\"unknown\"}}");
+  }
+
   void armTimer() {
     TimerAt = Deadline;
     DeadlineTimer.expires_at(Deadline);
@@ -661,11 +677,11 @@
   void enqueue(std::string Bytes) {
     if (Closed)
       return;
+    if (!reserveAnswer(Bytes.size()))
+      return close(UnsentBytes + Bytes.size() > Owner->Options.maxUnsentBytes()
+                       ? CloseReason::AnswerTooLarge
+                       : CloseReason::AnswerNoRoom);
     UnsentBytes += Bytes.size();
-    if (UnsentBytes > Owner->Options.maxUnsentBytes())
-      return close(CloseReason::AnswerTooLarge);
-    if (!reserveAnswer())
-      return close(CloseReason::AnswerNoRoom);
     AnswerBegun = true;
     Unsent.push_back(std::move(Bytes));
     if (Unsent.size() == 1) {
@@ -674,10 +690,17 @@
     }
   }
 
-  bool reserveAnswer() {
+  // Makes room for \p Bytes more of an answer; false if they exceed the limit
+  // or the budget is short. Short answers fit into the room of the connection.
+  bool reserveAnswer(size_t Bytes) {
+    const size_t Needed = UnsentBytes + Bytes;
+    if (Needed <= CoveredAnswerBytes)
+      return true;
+    if (Needed > Owner->Options.maxUnsentBytes())
+      return false;
     const MemoryClaim Claim =
-        UnsentBytes <= SmallBytes ? MemoryClaim::Small : MemoryClaim::Large;
-    while (!AnswerRoom.resize(UnsentBytes, Claim))
+        Needed <= SmallBytes ? MemoryClaim::Small : MemoryClaim::Large;
+    while (AnswerRoom.size() < Needed && !AnswerRoom.resize(Needed, Claim))
       if (!Owner->closeOldestStalled(this))
         return false;
     return true;
@@ -703,7 +726,7 @@
     Written = 0;
     UnsentBytes -= Unsent.front().size();
     Unsent.pop_front();
-    AnswerRoom.shrink(UnsentBytes);
+    AnswerRoom.shrink(std::min(AnswerRoom.size(), UnsentBytes));
     if (!Unsent.empty())
       return writeNext();
     if (CloseAfterFlush)
@@ -819,7 +842,8 @@
     // A write in progress still uses the first of them.
     while (Unsent.size() > 1)
       Unsent.pop_back();
-    AnswerRoom.shrink(Unsent.empty() ? 0 : Unsent.front().size());
+    AnswerRoom.shrink(std::min(AnswerRoom.size(),
+                               Unsent.empty() ? 0 : Unsent.front().size()));
     ReadsBody = false;
     BodyRoom.reset();
     finishRequest();
