A body that has yielded its room is never handed on in part

A deadline that came due between the yield and its read's handler replaced the reason, so that the read went on and the rest of the body was parsed into the emptied one: 60,000 of 160,000 bytes were handed on and answered 200. The first reason stays now, and reject() clears it, so that a refused client keeps its second to read the refusal. The 60 s of a body end also for a client that sends on.

--- a/http/server.cc
+++ b/http/server.cc
@@ -354,7 +354,10 @@
   void onDeadline(Time Now) {
     if (Deadline == Time::max())
       return;
-    switch (stepAtDeadline(Now, Deadline, stage(), hasArrived())) {
+    // The time of a body ends also for a client that sends on.
+    const bool IsOverdue = ReadsBody && Now >= BodyUntil;
+    switch (
+        stepAtDeadline(Now, Deadline, stage(), hasArrived() && !IsOverdue)) {
     case DeadlineStep::Wait:
       if (Now >= Deadline)
         Deadline = Now + ArrivedTime;
@@ -384,7 +387,9 @@
 
   // Ends the read in progress to close the connection, unless bytes arrive.
   void giveUp(CloseReason Reason) {
-    GivingUp = Reason;
+    // The first reason stays: the body of a connection that yields is lost.
+    if (!GivingUp)
+      GivingUp = Reason;
     ErrorCode Ignored;
     Socket.cancel(Ignored);
   }
@@ -625,6 +630,7 @@
 
   // Answers a request that is not read to its end, and so has not run.
   void reject(unsigned Status, const char *Code) {
+    GivingUp.reset();
     ReadsBody = false;
     KeepAlive = false;
     Rejected = true;
