A reader that takes nothing yields whatever it has sent

A byte that lay unread kept such a connection, with its room, for ever; and the room of the answer of one that had yielded was not free at once, so that all stalled readers were cut for one body that still found no room. Whether a reader is silent depends on what it takes; the room is free when the connection closes.

--- a/http/server.cc
+++ b/http/server.cc
@@ -213,13 +213,14 @@
   bool awaitsClient() const {
     return !Closed && !GivingUp && (ReadsBody || UnsentBytes > 0);
   }
-  // The client has sent nothing that was not read, and takes no bytes that
-  // could be written. Otherwise this process is the one that is late.
+  // The client takes no bytes of its answer that could be written, or has sent
+  // nothing of its request that was not read. Otherwise this process is the one
+  // that is late.
   bool isClientSilent() {
-    if (hasArrived())
-      return false;
+    if (UnsentBytes == 0)
+      return !hasArrived();
     pollfd Writable = {Socket.native_handle(), POLLOUT, 0};
-    return UnsentBytes == 0 || poll(&Writable, 1, 0) == 0;
+    return poll(&Writable, 1, 0) == 0;
   }
   Time lastProgress() const { return LastProgress; }
 
@@ -848,8 +849,7 @@
     // A write in progress still uses the first of them.
     while (Unsent.size() > 1)
       Unsent.pop_back();
-    AnswerRoom.shrink(std::min(AnswerRoom.size(),
-                               Unsent.empty() ? 0 : Unsent.front().size()));
+    AnswerRoom.shrink(0);
     ReadsBody = false;
     BodyRoom.reset();
     finishRequest();
