Head and body of an answer find room together, also of a streamed one

An answer of up to 1 KB that exceeded the room with its head, and the head of a streamed answer, closed the connection without a byte when the budget was full. Both are replaced by 502 now.

--- a/http/server.cc
+++ b/http/server.cc
@@ -265,8 +265,8 @@
     std::string Head = serialise(Response);
     if (Closed)
       return;
-    if (Body.size() > CoveredAnswerBytes &&
-        !reserveAnswer(Head.size() + Body.size()))
+    const size_t Size = Head.size() + Body.size();
+    if (Size > CoveredAnswerBytes && !reserveAnswer(Size))
       return respondWithoutRoom();
     ResponseComplete = true;
     if (Body.size() <= SmallBytes)
@@ -283,11 +283,17 @@
     if (Chunked)
       Response.chunked(true);
     EndsWithConnection = !Chunked;
-    enqueue(serialise(Response));
+    std::string Head = serialise(Response);
+    if (!Closed && !reserveAnswer(Head.size())) {
+      EndsWithConnection = false;
+      IsReplaced = true;
+      return respondWithoutRoom();
+    }
+    enqueue(std::move(Head));
   }
 
   void data(std::string Part) override {
-    if (Part.empty())
+    if (Part.empty() || IsReplaced)
       return;
     if (EndsWithConnection)
       return enqueue(std::move(Part));
@@ -301,6 +307,8 @@
   }
 
   void end() override {
+    if (IsReplaced)
+      return;
     ResponseComplete = true;
     if (!EndsWithConnection)
       return enqueue("0\r\n\r\n");
@@ -311,6 +319,8 @@
   }
 
   void abort() override {
+    if (IsReplaced)
+      return;
     CloseAfterFlush = true;
     if (Unsent.empty() || EndsWithConnection)
       close(CloseReason::Aborted);
@@ -608,6 +618,7 @@
     Parser.reset();
     InRequest = true;
     AnswerBegun = false;
+    IsReplaced = false;
     ResponseComplete = false;
     ++Owner->Active;
     expireNever();
@@ -905,6 +916,8 @@
   size_t FirstBytes = 0;
   // A byte of the response is queued or sent.
   bool AnswerBegun = false;
+  // A streamed response found no room for its head, and a failure was sent.
+  bool IsReplaced = false;
   bool CloseAfterFlush = false;
   // The caller understands chunks.
   bool Chunked = true;
