--- a/http/server.cc
+++ b/http/server.cc
@@ -779,8 +779,12 @@
         });
   }
 
-  // True if the client's kernel has not yet acknowledged all bytes.
+  // True if the client's kernel has not yet acknowledged all bytes, and has not
+  // reset the connection.
   bool isUndelivered() {
+    pollfd Reset = {Socket.native_handle(), 0, 0};
+    if (poll(&Reset, 1, 0) > 0 && (Reset.revents & POLLERR) != 0)
+      return false;
     int Unacknowledged = 0;
     return ioctl(Socket.native_handle(), SIOCOUTQ, &Unacknowledged) == 0 &&
            Unacknowledged > 0;
