Requests that their handler drops are logged when their connection closes

A handler that throws or gives its responder up closed the connection without a line. It has the reason "dropped" now. The line is written after the close, since bytes that arrive between the decision and the close are lost; an answer of HTTP/1.0 that ended in order is no longer logged as lost.

--- a/http/close_log.cc
+++ b/http/close_log.cc
@@ -12,7 +12,8 @@
       "head_timeout", "body_timeout",     "refusal_timeout",
       "yielded_idle", "yielded_stalled",  "connection_limit",
       "no_room",      "answer_too_large", "answer_no_room",
-      "aborted",      "stopping",         "server_ended"};
+      "aborted",      "dropped",          "stopping",
+      "server_ended"};
   return Names[static_cast<size_t>(Reason)];
 }
 
@@ -27,7 +28,9 @@
   if (Reason == CloseReason::PeerClosed || Reason == CloseReason::CallerLeft ||
       Stage == ConnectionStage::Refused)
     return false;
-  return Read > 0 || Unread > 0 || Stage != ConnectionStage::Idle;
+  const bool IsInProgress =
+      Stage != ConnectionStage::Idle && Reason != CloseReason::Answered;
+  return Read > 0 || Unread > 0 || IsInProgress;
 }
 
 void CloseLog::onClosed(const ClosedConnection &Closed) {
--- a/http/close_log.h
+++ b/http/close_log.h
@@ -54,6 +54,8 @@
   AnswerNoRoom,
   /// The handler ended the answer as incomplete.
   Aborted,
+  /// The handler threw, or gave the request up without an answer.
+  Dropped,
   /// Idle, and the server accepts no more connections.
   Stopping,
   /// The server was destroyed.
--- a/http/server.cc
+++ b/http/server.cc
@@ -144,6 +144,8 @@
   }
 
   ~Connection() override {
+    if (!Closed)
+      reportClose(closed(CloseReason::Dropped));
     Owner->Connections.erase(this);
     if (RefusedFor)
       --Owner->Refusing;
@@ -833,19 +835,22 @@
                                                : ConnectionStage::Head;
   }
 
-  void reportClose(CloseReason Reason) {
-    if (!Owner->Options.closeLog())
-      return;
+  ClosedConnection closed(CloseReason Reason) const {
     ErrorCode Ignored;
-    Owner->Options.closeLog()->onClosed(
-        {Reason, stage(), FirstBytes + Buffer.size(), Socket.available(Ignored),
-         currentTime().Steady - LastProgress});
+    return {Reason, stage(), FirstBytes + Buffer.size(),
+            Socket.available(Ignored), currentTime().Steady - LastProgress};
+  }
+
+  void reportClose(const ClosedConnection &Report) {
+    if (Owner->Options.closeLog())
+      Owner->Options.closeLog()->onClosed(Report);
   }
 
   void close(CloseReason Reason) {
     if (Closed)
       return;
-    reportClose(Reason);
+    // Logged after the close: bytes that arrive between would be lost.
+    const ClosedConnection Report = closed(Reason);
     Closed = true;
     DeadlineTimer.cancel();
     ErrorCode Ignored;
@@ -861,7 +866,8 @@
     } else {
       Socket.close(Ignored);
     }
-    // A write in progress still uses the first of them.
+    reportClose(Report);
+    // A write in progress still uses the first of them; its handler runs next.
     while (Unsent.size() > 1)
       Unsent.pop_back();
     AnswerRoom.shrink(0);
