--- a/http/server.cc
+++ b/http/server.cc
@@ -71,6 +71,9 @@
 // A client that is refused in the middle of its request gets this long to take
 // the answer; a close with unread bytes would discard it.
 constexpr Duration RefusalTime = std::chrono::seconds(1);
+// A connection that has been idle for less does not yield: a request may be on
+// its way.
+constexpr Duration MinIdle = std::chrono::seconds(1);
 // An idle connection is kept for one part in so many of the idle time beyond
 // it: its client counts from when it has read the last answer, this process
 // from when it has written it.
@@ -1018,7 +1021,7 @@
 }
 
 bool Server::State::closeOldestIdle() {
-  return yieldOldest(Duration(0), &Connection::awaitsRequest, nullptr);
+  return yieldOldest(MinIdle, &Connection::awaitsRequest, nullptr);
 }
 
 bool Server::State::closeOldestStalled(const Connection *Asking) {
