--- a/http/server.cc
+++ b/http/server.cc
@@ -101,6 +101,9 @@
   void listen(const Endpoint &Listen);
   void accept();
   void acceptLater();
+  // Accepts the connections that wait in the listener's queue; closing the
+  // listener would reset them, with the requests that they bring.
+  void acceptQueued();
   void onAccepted(Tcp::socket Socket);
   void stop();
   // Closes the connections that have no request in progress.
@@ -962,14 +965,16 @@
     return acceptLater();
   Acceptor.async_accept(
       [Self = shared_from_this()](ErrorCode Error, Tcp::socket Socket) {
-        if (Self->Stopping)
-          return;
         if (Error) {
+          if (Self->Stopping)
+            return;
           Self->closeOldestIdle();
           return Self->acceptLater();
         }
+        // First, so that an exception does not end the listener.
+        if (!Self->Stopping)
+          Self->accept();
         Self->onAccepted(std::move(Socket));
-        Self->accept();
       });
 }
 
@@ -1028,7 +1033,20 @@
   return yieldOldest(StalledAfter, &Connection::awaitsClient, Asking);
 }
 
+void Server::State::acceptQueued() {
+  ErrorCode Error;
+  Acceptor.non_blocking(true, Error);
+  while (!Error && Refusing < MaxRefusing) {
+    Tcp::socket Socket(Io);
+    Acceptor.accept(Socket, Error);
+    if (!Error)
+      onAccepted(std::move(Socket));
+  }
+}
+
 void Server::State::stop() {
+  if (!Stopping)
+    acceptQueued();
   Stopping = true;
   AnnounceClose = true;
   ErrorCode Ignored;
@@ -1056,6 +1074,8 @@
 Server::~Server() {
   Shared->stop();
   Shared->closeIdle();
+  // What it writes to may not outlive the server, as connections do.
+  Shared->Options.setCloseLog(nullptr);
 }
 
 uint16_t Server::port() const {
