paused_entry_test: pauses that outlast the idle margin, callers in the listener's queue

The idle margin had made the row "idle timeout" pass without any protection: the pause ended before the time ran out. All timer rows wait until the process stands still, and the pause outlasts the times.

--- a/testing/paused_entry_test.cc
+++ b/testing/paused_entry_test.cc
@@ -24,6 +24,9 @@
 namespace {
 
 constexpr int IdleMs = 3000;
+// A server keeps an idle connection for this much longer.
+constexpr int IdleMarginMs = IdleMs / 2;
+constexpr int SettleMs = 100;
 // Of the configuration, `header_ms`.
 constexpr int HeaderMs = 3000;
 // More than an event loop takes from the kernel at once, 128 in Asio, so that
@@ -87,75 +90,58 @@
 
 struct Pause {
   const char *Name;
-  ProcessLimits Limits;
-  size_t Callers;
-  size_t BodyBytes;
+  ProcessLimits Limits = {};
+  size_t Callers = Crowd;
+  size_t BodyBytes = 10;
   /// Bytes of each request that are sent before the pause.
-  size_t Before;
-  /// Callers that connect during the pause, with a request of NewBodyBytes.
-  size_t New;
-  size_t NewBodyBytes;
+  size_t Before = 0;
+  /// Callers that connect during the pause, with a request of the same size.
+  size_t New = 0;
   /// From the last bytes before the pause until it begins.
-  int QuietMs;
-  int PauseMs;
-  /// Sent to the entry this long before the pause; 0: none.
-  int StopBeforeMs;
+  int QuietMs = 500;
+  /// From the last bytes during the pause until its end.
+  int PauseMs = 2000;
+  /// SIGTERM is sent this long before the pause; 0: never.
+  int StopBeforeMs = 0;
 };
 
 constexpr size_t LargeBody = 1024 * 1024;
+// The timers run out in the middle of the pause.
+constexpr int LongPauseMs = 4000;
 
 const Pause Pauses[] = {
-    {"idle timeout",
-     {.IdleMs = IdleMs},
-     Crowd,
-     10,
-     0,
-     0,
-     0,
-     IdleMs - 1000,
-     2000,
-     0},
-    {"timeout of a head", {}, Crowd, 10, 20, 0, 0, HeaderMs - 1000, 2000, 0},
-    {"timeout of a body",
-     {.IdleMs = IdleMs},
-     Crowd,
-     4000,
-     2000,
-     0,
-     0,
-     IdleMs - 1000,
-     2000,
-     0},
-    {"too many connections",
-     {.MaxConnections = 256},
-     150,
-     10,
-     0,
-     50,
-     10,
-     500,
-     1500,
-     0},
-    {"no room for another body",
-     {.MemoryMb = 64, .BodyBytes = LargeBody},
-     14,
-     LargeBody,
-     100000,
-     4,
-     LargeBody,
-     0,
-     2000,
-     0},
-    {"end of accepting",
-     {.StopSeconds = 8},
-     Crowd,
-     10,
-     0,
-     0,
-     0,
-     500,
-     1500,
-     2200},
+    {.Name = "idle timeout",
+     .Limits = {.IdleMs = IdleMs},
+     .QuietMs = IdleMs + IdleMarginMs - LongPauseMs / 2,
+     .PauseMs = LongPauseMs},
+    {.Name = "timeout of a head",
+     .Before = 20,
+     .QuietMs = HeaderMs - LongPauseMs / 2,
+     .PauseMs = LongPauseMs},
+    {.Name = "timeout of a body",
+     .Limits = {.IdleMs = IdleMs},
+     .BodyBytes = 4000,
+     .Before = 2000,
+     .QuietMs = IdleMs - LongPauseMs / 2,
+     .PauseMs = LongPauseMs},
+    {.Name = "too many connections",
+     .Limits = {.MaxConnections = 256},
+     .Callers = 150,
+     .New = 50},
+    {.Name = "no room for another body",
+     .Limits = {.MemoryMb = 64, .BodyBytes = LargeBody},
+     .Callers = 14,
+     .BodyBytes = LargeBody,
+     .Before = 100000,
+     .New = 4,
+     .QuietMs = 0},
+    {.Name = "end of accepting",
+     .Limits = {.StopSeconds = 8},
+     .StopBeforeMs = 2200},
+    {.Name = "end of accepting, new callers",
+     .Limits = {.StopSeconds = 8},
+     .New = 50,
+     .StopBeforeMs = 2200},
 };
 
 // Lets the entry pause as \p P describes; returns how many callers got neither
@@ -179,10 +165,12 @@
     pauseFor(P.StopBeforeMs);
   }
   System.signal("entry0", SIGSTOP);
+  // Until all threads stand still: nothing that arrives is seen before.
+  pauseFor(SettleMs);
   for (size_t I = 0; I < P.Callers; ++I)
     Callers[I]->write(Request(I, P.BodyBytes).substr(P.Before));
   for (size_t I = 0; I < P.New; ++I)
-    Connect()->write(Request(P.Callers + I, P.NewBodyBytes));
+    Connect()->write(Request(P.Callers + I, P.BodyBytes));
   pauseFor(P.PauseMs);
   System.signal("entry0", SIGCONT);
   for (const auto &C : Callers)
