An entry does not exit on a count from before it stopped accepting

The control thread ends the process when no request has been in progress for 100 ms. A traffic thread in a long handler had not counted what had arrived meanwhile. Until it has stopped accepting and counted once more, a request counts as in progress. By reading; no test.

--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -607,6 +607,8 @@
     if (Now >= Schedule.AnswerBy)
       CallerServer.refuseIncomplete();
     UndeliveredCount = CallerServer.undelivered();
+    if (AcceptsNoMore)
+      IsCountOld = false;
   }
 
   void onException(const std::string &Why) {
@@ -677,6 +679,12 @@
   // While stopping: requests that are being received, and answers that are
   // complete, but not yet with their callers.
   std::atomic<size_t> UndeliveredCount{0};
+  // No tick has counted since the control thread asked for the end of
+  // accepting: this thread may be busy, and requests that arrived meanwhile be
+  // unread.
+  std::atomic<bool> IsCountOld{false};
+  // The callers' server has stopped accepting.
+  bool AcceptsNoMore = false;
   uint64_t LastCallId = 0;
   bool Stopping = false;
   // Of the stop, while Stopping.
@@ -728,7 +736,11 @@
 }
 
 void EntryTraffic::stopAccepting() {
-  boost::asio::post(Impl->Io, [this] { Impl->CallerServer.stopAccepting(); });
+  Impl->IsCountOld = true;
+  boost::asio::post(Impl->Io, [this] {
+    Impl->CallerServer.stopAccepting();
+    Impl->AcceptsNoMore = true;
+  });
 }
 
 void EntryTraffic::stop() {
@@ -739,7 +751,8 @@
 }
 
 size_t EntryTraffic::callsInProgress() const {
-  return std::max<size_t>(Impl->CallCount, Impl->UndeliveredCount);
+  return std::max<size_t>(
+      {Impl->CallCount, Impl->UndeliveredCount, Impl->IsCountOld ? 1u : 0u});
 }
 
 void EntryTraffic::metrics(std::function<void(std::string)> Done) {
--- a/daemon/entry_worker.cc
+++ b/daemon/entry_worker.cc
@@ -107,6 +107,11 @@
   // While stopping: requests that are being received, and answers that are not
   // yet with their callers.
   std::atomic<size_t> Undelivered{0};
+  // No tick has counted since the control thread asked for the end of
+  // accepting.
+  std::atomic<bool> IsCountOld{false};
+  // The listener has stopped accepting.
+  bool AcceptsNoMore = false;
   http::Server Listener;
 };
 
@@ -309,6 +314,8 @@
   if (Stop && currentTime().Steady >= Stop->AnswerBy)
     Listener.refuseIncomplete();
   Undelivered = Stop ? Listener.undelivered() : 0;
+  if (AcceptsNoMore)
+    IsCountOld = false;
   TickTimer.expires_after(TickInterval);
   TickTimer.async_wait([this](boost::system::error_code Error) {
     if (!Error)
@@ -365,11 +372,16 @@
 }
 
 void EntryWorker::stopAccepting() {
-  boost::asio::post(Impl->Io, [this] { Impl->Listener.stopAccepting(); });
+  Impl->IsCountOld = true;
+  boost::asio::post(Impl->Io, [this] {
+    Impl->Listener.stopAccepting();
+    Impl->AcceptsNoMore = true;
+  });
 }
 
 size_t EntryWorker::requestsInProgress() const {
-  return std::max<size_t>(Impl->InProgress, Impl->Undelivered);
+  return std::max<size_t>(
+      {Impl->InProgress, Impl->Undelivered, Impl->IsCountOld ? 1u : 0u});
 }
 
 } // namespace goldcrestlink
