A starting entry gets the configuration from one peer at a time

Until it had a configuration, an entry that started while the store did not answer requested all state from every other entry, each second: of 36 others, each sent the whole configuration.

It requests upstreams and releases from all of them, as before. Their answers name the version that each has, and the first with a newer one is asked for the configuration, under the rule of the exchange: one request at a time, and the next after 1.5 s. An answer that names no configuration holds nothing up, so one entry that has it among many that do not is found in the first round.

--- a/daemon/catalog_exchange.cc
+++ b/daemon/catalog_exchange.cc
@@ -37,6 +37,10 @@
   return encodeCatalogRequest(Known);
 }
 
+wire::Envelope CatalogExchange::requestRest(const CatalogRevisions &Own) {
+  return encodeCatalogRequest(withoutConfig(Own));
+}
+
 bool CatalogExchange::onTimer(Time Now, const CatalogRevisions &Own) {
   if (ConfigDue == Time() || Now < ConfigDue)
     return false;
--- a/daemon/catalog_exchange.h
+++ b/daemon/catalog_exchange.h
@@ -24,6 +24,10 @@
                                                const CatalogRevisions &Theirs,
                                                const CatalogRevisions &Own);
 
+  /// A request for the state that \p Own lacks, except for the configuration.
+  /// The answer says which version its sender has.
+  static wire::Envelope requestRest(const CatalogRevisions &Own);
+
   /// Returns true once when a requested configuration is overdue: it is
   /// requested again when others next announce it.
   bool onTimer(Time Now, const CatalogRevisions &Own);
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -487,7 +487,8 @@
   }
 
   // Requests the catalog state from other entries until a configuration is
-  // known, since the store may not answer.
+  // known, since the store may not answer. Only one of those that have a
+  // configuration is asked for it.
   void requestFromPeers() {
     for (const http::Endpoint &Peer : ProcessSettings.Fleet.Peers) {
       if (Peer.Address == ProcessSettings.Fleet.Address)
@@ -498,14 +499,26 @@
       if (!Connection)
         Connection = std::make_unique<SideConnection>(
             Io, Context, Address, "", [this, Address](wire::Envelope &Message) {
-              onCatalogMessage(*PeerConnections[Address], Message);
+              onPeerAnswer(*PeerConnections[Address], Message);
             });
-      wire::Envelope E = encodeCatalogRequest(CatalogRevisions());
+      wire::Envelope E = CatalogExchange::requestRest(ownRevisions());
       Connection->sendOrQueue(E);
       Connection->flush();
     }
   }
 
+  void onPeerAnswer(SideConnection &From, wire::Envelope &Message) {
+    if (Message.has_beliefs()) {
+      const CatalogRevisions Theirs =
+          decodeRevisions(Message.beliefs().as_of());
+      const CatalogRevisions Own = ownRevisions();
+      if (Own.Config < Theirs.Config)
+        if (auto E = Exchange.requestMissing(now(), Theirs, Own))
+          From.sendOrQueue(*E);
+    }
+    onCatalogMessage(From, Message);
+  }
+
   void exchangeCatalog(Time Now) {
     // Sides that have newer state answer a digest with their own.
     const bool IsOverdue = Exchange.onTimer(Now, ownRevisions());
