Processes request an announced configuration at different times

The first entry that gets a configuration announces it to all sides at once, and each of them requests it from this entry: for 60 sides 60 MB of a configuration of 1 MB, which take 48 s at 10 Mbit/s (by calculation) and stand in front of calls. A side announces it to all entries in the same way.

A process that has a configuration waits for a random part of 0.4 s, from the first offer of the next one, before it requests that. By then others have it, and entries often have got it by the store's watch. Other state is requested at once, and so is the first configuration of a process. When the delay ends, a side asks the entry that was the last to offer, and an entry announces its state, so that the sides that have the configuration offer it.

catalog_exchange_test, "processes to which a configuration is offered at the same time request it at different times": without the delay 60 of 60 requests in the first 40 ms; at most 18 in any 40 ms now.

--- a/daemon/catalog_exchange.cc
+++ b/daemon/catalog_exchange.cc
@@ -22,11 +22,23 @@
   return Now < ConfigDue && Own.Config == ConfigBefore;
 }
 
+bool CatalogExchange::isDelayed(Time Now, const CatalogRevisions &Theirs,
+                                const CatalogRevisions &Own) {
+  if (Own.Config == 0 || Own.Config >= Theirs.Config)
+    return false;
+  if (DelayedAt != Own.Config) {
+    DelayedAt = Own.Config;
+    DelayEnd = Now + fromSeconds(seconds(MaxOfferDelay) * Rand.unit());
+  }
+  return Now < DelayEnd;
+}
+
 std::optional<wire::Envelope>
 CatalogExchange::requestMissing(Time Now, const CatalogRevisions &Theirs,
                                 const CatalogRevisions &Own) {
   const CatalogRevisions Known =
-      isConfigOpen(Now, Own) ? withoutConfig(Own) : Own;
+      isDelayed(Now, Theirs, Own) || isConfigOpen(Now, Own) ? withoutConfig(Own)
+                                                            : Own;
   if (!Known.lacks(Theirs) || Now < NextRequest)
     return std::nullopt;
   NextRequest = Now + MinRequestInterval;
@@ -42,10 +54,15 @@
 }
 
 bool CatalogExchange::onTimer(Time Now, const CatalogRevisions &Own) {
-  if (ConfigDue == Time() || Now < ConfigDue)
-    return false;
-  ConfigDue = Time();
-  return Own.Config == ConfigBefore;
+  const auto HasPassed = [&](Time &At, uint64_t Before) {
+    if (At == Time() || Now < At)
+      return false;
+    At = Time();
+    return Own.Config == Before;
+  };
+  const bool IsOverdue = HasPassed(ConfigDue, ConfigBefore);
+  const bool IsDelayOver = HasPassed(DelayEnd, DelayedAt);
+  return IsOverdue || IsDelayOver;
 }
 
 } // namespace goldcrestlink
--- a/daemon/catalog_exchange.h
+++ b/daemon/catalog_exchange.h
@@ -1,6 +1,7 @@
 // How a process answers the catalog messages of others: it requests newer state
 // that they announce, at a bounded rate, and sends the state that they request.
 //
+//   CatalogExchange Exchange(Seed);
 //   if (auto E = Exchange.requestMissing(Now, Theirs, Own)) send(*E);
 //   wire::Envelope E = catalogUpdateFor(Message.belief_request(), Catalog);
 #ifndef GOLDCRESTLINK_DAEMON_CATALOG_EXCHANGE_H
@@ -8,6 +9,7 @@
 
 #include <optional>
 
+#include "base/random.h"
 #include "daemon/catalog_codec.h"
 
 namespace goldcrestlink {
@@ -15,11 +17,14 @@
 /// Not thread-safe.
 class CatalogExchange {
 public:
+  explicit CatalogExchange(uint64_t Seed) : Rand(Seed) {}
+
   /// A request for the state that \p Theirs has and \p Own lacks; nullopt if
   /// there is none or the last request is less than MinRequestInterval ago. A
   /// configuration is requested from one process at a time: no further request
   /// asks for one until \p Own has another one than at that request, or
-  /// MaxConfigTime has passed.
+  /// MaxConfigTime has passed. A process that has a configuration waits for up
+  /// to MaxOfferDelay before it requests the next one.
   std::optional<wire::Envelope> requestMissing(Time Now,
                                                const CatalogRevisions &Theirs,
                                                const CatalogRevisions &Own);
@@ -28,8 +33,8 @@
   /// The answer says which version its sender has.
   static wire::Envelope requestRest(const CatalogRevisions &Own);
 
-  /// Returns true once when a requested configuration is overdue: it is
-  /// requested again when others next announce it.
+  /// Returns true once when a requested configuration is overdue or the delay
+  /// before a request has passed: it is requested when others next announce it.
   bool onTimer(Time Now, const CatalogRevisions &Own);
 
   /// Several processes may announce the same state at once; it is requested at
@@ -40,7 +45,15 @@
   /// 2 s.
   static constexpr Duration MaxConfigTime = std::chrono::milliseconds(1500);
 
+  /// One process announces a configuration to all others at once. They request
+  /// it spread over this time, in which more processes get it, so that they do
+  /// not all ask the first.
+  static constexpr Duration MaxOfferDelay = std::chrono::milliseconds(400);
+
 private:
+  /// Whether a configuration that is offered is to be requested later.
+  bool isDelayed(Time Now, const CatalogRevisions &Theirs,
+                 const CatalogRevisions &Own);
   /// Whether a requested configuration may still arrive.
   bool isConfigOpen(Time Now, const CatalogRevisions &Own) const;
 
@@ -49,6 +62,11 @@
   // time, and when the answer is overdue; no time if none is awaited.
   uint64_t ConfigBefore = 0;
   Time ConfigDue{};
+  // Of the last delay: this process's version at that time, and when it ends;
+  // no time if it has ended.
+  uint64_t DelayedAt = 0;
+  Time DelayEnd{};
+  Random Rand;
 };
 
 /// The state in \p Known that is newer than the revisions in \p Request.
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -521,8 +521,8 @@
 
   void exchangeCatalog(Time Now) {
     // Sides that have newer state answer a digest with their own.
-    const bool IsOverdue = Exchange.onTimer(Now, ownRevisions());
-    if (Now < NextDigest && !IsOverdue)
+    const bool IsConfigWanted = Exchange.onTimer(Now, ownRevisions());
+    if (Now < NextDigest && !IsConfigWanted)
       return;
     NextDigest = Now + DigestInterval;
     sendDigests();
@@ -687,7 +687,7 @@
   std::map<std::string, std::unique_ptr<SideConnection>> PeerConnections;
   size_t EntryCount = InitialEntryCount;
   Time NextDigest{};
-  CatalogExchange Exchange;
+  CatalogExchange Exchange{freshSeed()};
   std::unordered_map<uint64_t, OpenCall> OpenCalls;
   std::unordered_map<uint64_t, OpenSend> OpenSends;
   std::atomic<size_t> CallCount{0};
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -279,8 +279,11 @@
     if (Message.has_digest()) {
       const CatalogRevisions Theirs = decodeRevisions(Message.digest());
       const CatalogRevisions &Own = KnownCatalog.revisions();
-      if (auto E = Exchange.requestMissing(Now, Theirs, Own))
-        send(Peer, *E);
+      if (Own.Config < Theirs.Config) {
+        LastOfferer = Peer;
+        LastOffer = Theirs;
+      }
+      requestFrom(Now, Peer, Theirs);
       if (Theirs.lacks(Own)) {
         wire::Envelope E = encodeDigest(Own, Relay.digest());
         send(Peer, E);
@@ -296,6 +299,12 @@
     }
   }
 
+  void requestFrom(Time Now, const std::string &Peer,
+                   const CatalogRevisions &Theirs) {
+    if (auto E = Exchange.requestMissing(Now, Theirs, KnownCatalog.revisions()))
+      send(Peer, *E);
+  }
+
   void onCatalogUpdate(Time Now, const std::string &From,
                        const CatalogUpdate &Update) {
     const CatalogRevisions Before = KnownCatalog.revisions();
@@ -421,6 +430,8 @@
     Relay.onTimer(Now);
     Leaving.expire(Now);
     KnownCatalog.onTimer(Now);
+    if (Exchange.onTimer(Now, KnownCatalog.revisions()))
+      requestFrom(Now, LastOfferer, LastOffer);
     requestReport(Now);
     sendLoadIfChanged(Now);
     armTick();
@@ -591,7 +602,10 @@
   // The last connection of each entry that has asked for admission.
   std::map<std::string, std::string> LastPeer;
   Catalog KnownCatalog;
-  CatalogExchange Exchange;
+  CatalogExchange Exchange{freshSeed()};
+  // The entry that last announced a newer configuration, and its state.
+  std::string LastOfferer;
+  CatalogRevisions LastOffer;
   CrashRelay Relay;
   forward::LeavingUpstreams Leaving;
   forward::StreamOrigins Origins{forward::StreamOrigins::Options()};
--- a/daemon/testing/catalog_exchange_test.cc
+++ b/daemon/testing/catalog_exchange_test.cc
@@ -1,6 +1,9 @@
 // How often the catalog state that others offer is requested.
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <vector>
+
 #include "daemon/catalog_exchange.h"
 
 using namespace goldcrestlink;
@@ -74,7 +77,7 @@
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
-    CatalogExchange Exchange;
+    CatalogExchange Exchange(1);
     const Counts Seen =
         offer(Exchange, Duration(0), R.Span, R.Theirs, revisions(OldConfig, 5));
     CHECK(Seen.ForConfig == R.ForConfig);
@@ -84,7 +87,7 @@
 }
 
 TEST_CASE("a request without the configuration is answered with the rest") {
-  CatalogExchange Exchange;
+  CatalogExchange Exchange(1);
   const CatalogRevisions Own = revisions(OldConfig, 5);
   REQUIRE(configRequest(Exchange, Duration(0), revisions(NewConfig, 5), Own));
   const auto E = Exchange.requestMissing(at(milliseconds(700)),
@@ -116,7 +119,7 @@
   };
   for (const Row &R : Rows) {
     CAPTURE(R.Name);
-    CatalogExchange Exchange;
+    CatalogExchange Exchange(1);
     REQUIRE(configRequest(Exchange, Duration(0), revisions(R.Claimed, 5),
                           revisions(OldConfig, 5)));
     const auto E =
@@ -126,3 +129,58 @@
     CHECK(E->belief_request().config_version() == R.Arrived);
   }
 }
+
+// Guards against a process that is the first to have a large configuration and
+// sends it to all others.
+TEST_CASE("processes to which a configuration is offered at the same time "
+          "request it at different times") {
+  constexpr uint64_t Processes = 60;
+  constexpr auto Slot = milliseconds(40);
+  struct Row {
+    const char *Name;
+    uint64_t Own;
+    int MaxInSlot;
+  };
+  const Row Rows[] = {
+      // A tenth of them is expected in a tenth of the time.
+      {"they have an older one", OldConfig, 18},
+      {"they have none", 0, Processes},
+  };
+  for (const Row &R : Rows) {
+    CAPTURE(R.Name);
+    std::vector<int> InSlot(CatalogExchange::MaxOfferDelay / Slot + 1);
+    for (uint64_t Seed = 1; Seed <= Processes; ++Seed) {
+      CatalogExchange Exchange(Seed);
+      const CatalogRevisions Own = revisions(R.Own, 5);
+      const CatalogRevisions Theirs = revisions(NewConfig, 5);
+      bool IsRequested = false;
+      for (size_t I = 0; I < InSlot.size() && !IsRequested; ++I)
+        if (Exchange.requestMissing(at(Slot * static_cast<int64_t>(I)), Theirs,
+                                    Own)) {
+          IsRequested = true;
+          ++InSlot[I];
+        }
+      CHECK(IsRequested);
+    }
+    CHECK(*std::max_element(InSlot.begin(), InSlot.end()) <= R.MaxInSlot);
+    CHECK((InSlot[0] == Processes) == (R.Own == 0));
+  }
+}
+
+TEST_CASE("the end of a delay and an overdue answer are reported once") {
+  CatalogExchange Exchange(1);
+  const CatalogRevisions Own = revisions(OldConfig, 5);
+  const CatalogRevisions Theirs = revisions(NewConfig, 5);
+  CHECK_FALSE(Exchange.requestMissing(at(Duration(0)), Theirs, Own));
+  int Reported = 0;
+  int Requested = 0;
+  for (Duration D{}; D < milliseconds(2000); D += OfferInterval)
+    if (Exchange.onTimer(at(D), Own)) {
+      ++Reported;
+      Requested += Exchange.requestMissing(at(D), Theirs, Own) ? 1 : 0;
+    }
+  CHECK(Reported == 2);
+  CHECK(Requested == 2);
+  CHECK_FALSE(
+      Exchange.onTimer(at(std::chrono::seconds(9)), revisions(NewConfig, 5)));
+}
