A configuration that is in force is not decoded again

A configuration arrives from the store and from processes, at an entry up to eight times for one version. Each copy was decoded in full before its version was compared, on the control thread of an entry and on the traffic thread of a side.

Its text is compared with the one in force first. The version that a sender names is not used: a wrong number must neither hide a newer configuration nor stand for one that did not come. An older text that is not the one in force is still decoded, and so are unreadable ones, which are reported as before.

"A configuration counts by its text, whatever version the sender claims" passed before too.

--- a/catalog/catalog.h
+++ b/catalog/catalog.h
@@ -135,6 +135,11 @@
   std::shared_ptr<const DeploymentConfig> sharedConfig() const {
     return Config;
   }
+  /// Whether \p Text is the encoded form of config(), which then need not be
+  /// decoded again.
+  bool isKnownConfig(std::string_view Text) const {
+    return ConfigText && *ConfigText == Text;
+  }
   /// The route with the longest matching prefix; null if none matches.
   const RouteSpec *route(std::string_view Host, std::string_view Path) const;
   /// Null if the configuration has no such service.
--- a/daemon/fleet_side.cc
+++ b/daemon/fleet_side.cc
@@ -324,6 +324,8 @@
   }
 
   void onConfigText(Time Now, const std::string &Text) {
+    if (KnownCatalog.isKnownConfig(Text))
+      return;
     try {
       auto Config =
           std::make_shared<DeploymentConfig>(platform::decodeConfig(Text));
--- a/daemon/store_watcher.cc
+++ b/daemon/store_watcher.cc
@@ -141,6 +141,12 @@
 void StoreWatcher::onConfigObject(const platform::StoreObject &Object) {
   if (Object.Removed || Object.Content.empty())
     return;
+  // The store and several processes may deliver the same one. It is compared,
+  // since the version that a sender names may be wrong.
+  if (KnownCatalog.isKnownConfig(Object.Content)) {
+    Unreadable.remove(platform::kinds::Config, Object.Name);
+    return;
+  }
   try {
     auto Config = std::make_shared<DeploymentConfig>(
         platform::decodeConfig(Object.Content));
