A pause of the process does not count as silence of a side

After a pause of an entry, also one of 120 ms, calls that waited for the admission of a side are logged as side_silent, tried elsewhere and, after three requests, refused as overloaded; the connection to the side is opened anew and what was queued on it is lost, although the reply lies unread. The same holds for questions for the origin of a stream.

Cause: the time-out was judged by the steady clock alone. After a pause it is due together with the sockets, and the timer may run first; ZeroMQ's own thread has not run either, so that asking its socket would not tell.

Without pauses nothing changes: the timer runs every 10 ms. Where an entry gets a step only every 95 ms, a silent side is noticed within 1.1 s.

--- a/forward/forwarder.cc
+++ b/forward/forwarder.cc
@@ -420,8 +420,7 @@
 void Forwarder::sendAdmissionRequest(Time Now, ActiveCall &Call) {
   Call.AdmissionRequestedAt = Now;
   Call.CurrentStage = Stage::AdmissionRequested;
-  Call.StageUntil = Now + Opts.admissionTimeout();
-  schedule(Call.StageUntil, Call.Id);
+  awaitReply(Now, Call, Opts.admissionTimeout());
   AdmissionRequest Admission;
   Admission.Id = Call.AdmissionId;
   Admission.Model = Call.Request.Inference.Model;
--- a/forward/forwarder.h
+++ b/forward/forwarder.h
@@ -25,6 +25,7 @@
 #include "base/pause_meter.h"
 #include "base/process_delays.h"
 #include "base/random.h"
+#include "base/running_clock.h"
 #include "catalog/catalog.h"
 #include "forward/call.h"
 #include "forward/config_age.h"
@@ -303,6 +304,10 @@
     bool VersionIsCertain = false;
     // Time-out of the current stage.
     Time StageUntil{};
+    // While a side is to reply: when it was asked, as Running counts, and how
+    // long it has.
+    Time ReplyAskedAt{};
+    Duration ReplyTimeout{};
     uint32_t AdmissionRequests = 0;
     // Shortest time after which a refusing side suggests a retry; zero if none
     // has refused.
@@ -578,6 +583,11 @@
   /// A random time in proportion to \p Delay.
   Duration spread(Duration Delay);
   void schedule(Time When, uint64_t Id);
+  // A side has \p Timeout, of the time in which this process runs, to reply.
+  void awaitReply(Time Now, ActiveCall &Call, Duration Timeout);
+  // Whether the time-out of a side's reply is put off since this process
+  // paused.
+  bool mayReplyYet(Time Now, ActiveCall &Call);
   void onDue(Time Now, ActiveCall &Call);
   std::string describe(const ActiveCall &Call) const;
   /// What the call's engine was chosen by, for the send line; empty for plain
@@ -624,6 +634,7 @@
   size_t IsolatedCalls = 0;
   Time NextCrashExpiry{};
   ProcessDelays Delays;
+  RunningClock Running;
   EntryHeadroom Headroom;
   std::map<std::string, RetryAllowance> Allowances;
   OrganisationQuotas Quotas;
--- a/forward/forwarder_origins.cc
+++ b/forward/forwarder_origins.cc
@@ -51,8 +51,7 @@
   ++Call.OriginRound;
   Call.OriginAnswers = 0;
   Call.OriginAskedAt = Now;
-  Call.StageUntil = std::min(Now + Timeout, Now + (Call.Deadline - Now) / 2);
-  schedule(Call.StageUntil, Call.Id);
+  awaitReply(Now, Call, std::min(Timeout, (Call.Deadline - Now) / 2));
   Call.OriginAsked =
       Port.requestOrigin({Call.Id, Call.OriginRound, streamKey(Call)}, Keepers);
   if (Call.OriginAsked == 0)
--- a/forward/forwarder_sends.cc
+++ b/forward/forwarder_sends.cc
@@ -453,8 +453,29 @@
 
 void Forwarder::schedule(Time When, uint64_t Id) { Timers.push({When, Id}); }
 
+void Forwarder::awaitReply(Time Now, ActiveCall &Call, Duration Timeout) {
+  Call.ReplyAskedAt = Running.at(Now);
+  Call.ReplyTimeout = std::max(Duration(0), Timeout);
+  Call.StageUntil = Now + Call.ReplyTimeout;
+  schedule(Call.StageUntil, Call.Id);
+}
+
+bool Forwarder::mayReplyYet(Time Now, ActiveCall &Call) {
+  if (Call.CurrentStage != Stage::AdmissionRequested &&
+      Call.CurrentStage != Stage::OriginRequested)
+    return false;
+  const Duration Left =
+      Running.timeLeft(Now, Call.ReplyAskedAt, Call.ReplyTimeout);
+  if (Left == Duration(0))
+    return false;
+  Call.StageUntil = Now + Left;
+  schedule(Call.StageUntil, Call.Id);
+  return true;
+}
+
 void Forwarder::onTimer(Time Now) {
   Delays.onTimer(Now);
+  Running.onTimer(Now);
   resumeHeldCalls(Now);
   Headroom.onTimer(Now);
   if (Now >= NextCrashExpiry) {
@@ -489,7 +510,7 @@
     }
     return fail(Now, Call, EndReason::TimedOut);
   }
-  if (Now < Call.StageUntil)
+  if (Now < Call.StageUntil || mayReplyYet(Now, Call))
     return;
   switch (Call.CurrentStage) {
   case Stage::OriginRequested:
--- a/forward/testing/forwarder_test.cc
+++ b/forward/testing/forwarder_test.cc
@@ -253,6 +253,70 @@
   CHECK(E.Port.RetryAfter <= std::chrono::milliseconds(300));
 }
 
+// After a pause of the process, replies wait in the kernel until the event loop
+// has run.
+TEST_CASE("a pause of the process does not count as silence of a side") {
+  struct Row {
+    // The loop stands still for PauseMs, AskedMs after the call was asked for.
+    int AskedMs;
+    int PauseMs;
+    // The reply is handled so long after the pause.
+    int ReplyMs;
+  };
+  const Row Rows[] = {{10, 120, 5},  {10, 300, 5},  {10, 480, 15},
+                      {10, 3000, 5}, {90, 120, 5},  {90, 300, 15},
+                      {90, 480, 5},  {90, 3000, 25}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.AskedMs);
+    CAPTURE(R.PauseMs);
+    Entry E;
+    E.Machine.onTimer(at(0));
+    E.call("/stream/x");
+    for (int Ms = 10; Ms <= R.AskedMs; Ms += 10)
+      E.Machine.onTimer(at(Ms));
+    const int Resumed = R.AskedMs + R.PauseMs;
+    for (int Ms = 0; Ms < R.ReplyMs; Ms += 10)
+      E.Machine.onTimer(at(Resumed + Ms));
+    E.replyAdmission(Resumed + R.ReplyMs);
+    CHECK(E.Port.SilentSides == 0);
+    CHECK(E.Port.Admissions.size() == 1);
+    CHECK(E.Port.Sends.size() == 1);
+  }
+}
+
+TEST_CASE("a silent side is noticed in time, whatever the timer's interval") {
+  struct Row {
+    int IntervalMs;
+    // The loop stands still for so long, 50 ms after the call was asked for.
+    int PauseMs;
+    // The side counts as silent after the first and by the second time.
+    int FromMs;
+    int ToMs;
+  };
+  const Row Rows[] = {{10, 0, 100, 120},
+                      {15, 0, 100, 120},
+                      {10, 1000, 1050, 1150},
+                      {95, 0, 100, 1100}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.IntervalMs);
+    CAPTURE(R.PauseMs);
+    Entry E;
+    E.Machine.onTimer(at(0));
+    E.call("/stream/x");
+    int NoticedMs = 0;
+    for (int Ms = R.IntervalMs; Ms < 3000 && NoticedMs == 0;
+         Ms += R.IntervalMs) {
+      if (Ms > 50 && Ms <= 50 + R.PauseMs)
+        continue;
+      E.Machine.onTimer(at(Ms));
+      if (E.Port.SilentSides > 0)
+        NoticedMs = Ms;
+    }
+    CHECK(NoticedMs >= R.FromMs);
+    CHECK(NoticedMs <= R.ToMs);
+  }
+}
+
 TEST_CASE("a side that does not answer is skipped") {
   Entry E;
   E.call("/stream/x");
