A client's deadline drops no answer that has arrived

After a pause of the process, calls failed as timed out although their answers lay unread in the kernel, and as not sent although their connections were established: an entry then treats an upstream that answers as broken or unreachable, and a side or a watcher of the store one that is well as silent.

Cause: beast::tcp_stream closes its socket when its time runs out, without asking what has arrived. Timers of one batch of events run before the sockets of the next one; a batch holds 128.

A call has its own deadline. When it passes, the pending operation is cancelled unless its result waits in the kernel, and its handler decides, so that an operation that had completed succeeds. Every 50 ms after that it is judged again. One timer per call is moved only when it fires, where Beast armed one for each read.

--- a/http/client.cc
+++ b/http/client.cc
@@ -12,6 +12,10 @@
 // transferred at the same time, since a peer may respond before it has read a
 // long body; a connection whose response was complete before the request was
 // written is closed. TCP keep-alive probes detect peers that no longer respond.
+//
+// When a deadline passes, the pending operation is cancelled unless its result
+// waits in the kernel, and its handler decides: an operation that had completed
+// before succeeds. One timer per call is moved only when it fires.
 #include "http/client.h"
 
 #include <algorithm>
@@ -27,10 +31,12 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
 #include "http/part_body.h"
+#include "http/socket_ready.h"
 
 namespace goldcrestlink::http {
 
@@ -65,6 +71,8 @@
 // keep-alive timeout that the peer announced, or for half of a short timeout,
 // since the peer may close the connection just as a request is sent on it.
 constexpr Duration KeepAliveMargin = std::chrono::milliseconds(500);
+// After a deadline, the time until its operation is judged again.
+constexpr Duration RecheckInterval = std::chrono::milliseconds(50);
 
 // Status codes below FirstFinalStatus are of interim responses, which precede
 // the final one. Codes outside of the range have no meaning in HTTP.
@@ -160,7 +168,7 @@
   ActiveCall(std::shared_ptr<Client::Pool> Pool, const Endpoint &To,
              Request Req, CallOptions Options, CallHandlers Handlers)
       : Pool(std::move(Pool)), Key(To.text()), To(To), Options(Options),
-        Handlers(std::move(Handlers)) {
+        Handlers(std::move(Handlers)), DeadlineTimer(this->Pool->Io) {
     Stream.emplace(this->Pool->Io);
     Message.version(11);
     Message.method_string(Req.Method);
@@ -193,13 +201,46 @@
   void cancel() override {
     if (Finished)
       return;
-    Finished = true;
+    finish();
     abandon();
   }
 
   void closeWhenDone() override { CloseWhenDone = true; }
 
 private:
+  void finish() {
+    Finished = true;
+    DeadlineTimer.cancel();
+  }
+
+  // The operation that is started next has to end within \p D.
+  void expireAfter(Duration D) {
+    Deadline = steadyNow() + D;
+    if (TimerAt == Time{} || Deadline < TimerAt)
+      armTimer();
+  }
+
+  void armTimer() {
+    TimerAt = Deadline;
+    DeadlineTimer.expires_at(Deadline);
+    DeadlineTimer.async_wait([Weak = weak_from_this()](ErrorCode Error) {
+      const auto Self = Weak.lock();
+      if (!Self || Error || Self->Finished)
+        return;
+      Self->onDeadlineTimer(steadyNow());
+    });
+  }
+
+  void onDeadlineTimer(Time Now) {
+    if (Now >= Deadline) {
+      if (!isSocketReady(Stream->socket().native_handle(), Awaited))
+        Stream->cancel();
+      // An operation of several steps may go on with what it had read before.
+      Deadline = Now + RecheckInterval;
+    }
+    armTimer();
+  }
+
   // Beast's prepare_payload() throws for a TRACE with a body.
   void setLength() {
     const bhttp::verb Method = Message.method();
@@ -209,7 +250,8 @@
   }
 
   void connect() {
-    Stream->expires_after(toNanos(Options.connectTimeout()));
+    Awaited = SocketEvent::Connected;
+    expireAfter(Options.connectTimeout());
     const Tcp::endpoint Address(asio::ip::make_address(To.Address), To.Port);
     Stream->async_connect(
         Address, [Self = shared_from_this()](ErrorCode Error) {
@@ -226,7 +268,8 @@
 
   void write() {
     RequestWritten = false;
-    Stream->expires_after(toNanos(Options.readTimeout()));
+    Awaited = SocketEvent::Readable;
+    expireAfter(Options.readTimeout());
     bhttp::async_write(*Stream, Message,
                        [Self = shared_from_this(),
                         Attempt = Attempt](ErrorCode Error, size_t Bytes) {
@@ -248,7 +291,7 @@
     Parser->body_limit(MaxBodyBytes);
     if (Message.method() == bhttp::verb::head)
       Parser->skip(true);
-    Stream->expires_after(toNanos(Options.readTimeout()));
+    expireAfter(Options.readTimeout());
     bhttp::async_read_header(
         *Stream, Buffer, *Parser,
         [Self = shared_from_this(), Attempt = Attempt](ErrorCode Error,
@@ -300,7 +343,7 @@
     if (Parser->is_done())
       return isCutShort() ? fail(CallError::Broken, asio::error::broken_pipe)
                           : done();
-    Stream->expires_after(toNanos(Options.readTimeout()));
+    expireAfter(Options.readTimeout());
     bhttp::async_read_some(
         *Stream, Buffer, *Parser,
         [Self = shared_from_this()](ErrorCode Error, size_t) {
@@ -319,10 +362,9 @@
   bool isCutShort() const { return Parser->need_eof() && !RequestWritten; }
 
   void done() {
-    Finished = true;
+    finish();
     if (Parser->keep_alive() && !Options.freshConnection() && RequestWritten &&
         !CloseWhenDone && Buffer.size() == 0) {
-      Stream->expires_never();
       const Duration Announced =
           announcedKeepAlive(std::string(Parser->get()["Keep-Alive"]));
       const Duration Usable =
@@ -354,13 +396,16 @@
   }
 
   static CallError errorKind(ErrorCode Error) {
-    return Error == beast::error::timeout ? CallError::TimedOut
-                                          : CallError::Broken;
+    // Operations are cancelled by the deadline only, as long as the call runs.
+    return Error == asio::error::operation_aborted ? CallError::TimedOut
+                                                   : CallError::Broken;
   }
 
   void fail(CallError Kind, ErrorCode Error) {
-    Finished = true;
+    finish();
     Kind == CallError::TimedOut ? abandon() : resetSocket();
+    if (Error == asio::error::operation_aborted)
+      Error = beast::error::timeout;
     if (Handlers.OnError)
       Handlers.OnError(Kind, Error.message());
   }
@@ -413,13 +458,17 @@
     Stream->socket().close(Ignored);
   }
 
-  static std::chrono::nanoseconds toNanos(Duration D) { return D; }
-
   std::shared_ptr<Client::Pool> Pool;
   std::string Key;
   Endpoint To;
   CallOptions Options;
   CallHandlers Handlers;
+  asio::steady_timer DeadlineTimer;
+  Time Deadline{};
+  // When DeadlineTimer fires, at Deadline or before; Time{}: not armed yet.
+  Time TimerAt{};
+  // What the operation in progress waits for.
+  SocketEvent Awaited = SocketEvent::Connected;
   std::optional<beast::tcp_stream> Stream;
   beast::flat_buffer Buffer;
   SharedBody Body;
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -14,8 +14,10 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 
@@ -905,3 +907,154 @@
     CHECK(Error.value_or(http::CallError::NotSent) == http::CallError::NotSent);
   }
 }
+
+namespace {
+
+// More than the event loop takes from the kernel at once, so that time-outs run
+// before some of the calls of which something has arrived.
+constexpr int PausedCalls = 300;
+
+// The thread of \p Io gets no processor time for \p Length, \p After from now.
+void pauseLoop(asio::io_context &Io, std::chrono::milliseconds After,
+               std::chrono::milliseconds Length) {
+  auto Timer = std::make_shared<asio::steady_timer>(Io, After);
+  Timer->async_wait([Timer, Length](boost::system::error_code) {
+    std::this_thread::sleep_for(Length);
+  });
+}
+
+// Answers each request with 200 after a delay, on a thread of its own.
+class LateServer {
+public:
+  explicit LateServer(std::chrono::milliseconds Delay)
+      : Server(Io, {"127.0.0.1", 0}, http::ServerOptions(),
+               [this, Delay](const http::Request &,
+                             const std::shared_ptr<http::Responder> &Answer) {
+                 auto Timer = std::make_shared<asio::steady_timer>(Io, Delay);
+                 Timer->async_wait([Timer, Answer](boost::system::error_code) {
+                   Answer->respond(200, {}, "body");
+                 });
+               }),
+        Thread([this] { Io.run(); }) {}
+  ~LateServer() {
+    Io.stop();
+    Thread.join();
+  }
+  http::Endpoint endpoint() const { return {"127.0.0.1", Server.port()}; }
+
+private:
+  asio::io_context Io;
+  http::Server Server;
+  std::thread Thread;
+};
+
+// Accepts connections, but loses the first packet of those that are opened at
+// once: they are established after Delay, when the kernel repeats it.
+class LateListener {
+public:
+  static constexpr std::chrono::milliseconds Delay{1000};
+  LateListener() : Acceptor(Io, {asio::ip::make_address("127.0.0.1"), 0}) {
+    Acceptor.listen(PausedCalls);
+    dropPacketsAbove(Acceptor.native_handle(), 0);
+    Thread = std::thread([this] {
+      std::this_thread::sleep_for(Delay / 2);
+      deliverPackets(Acceptor.native_handle());
+    });
+  }
+  ~LateListener() { Thread.join(); }
+  http::Endpoint endpoint() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+private:
+  asio::io_context Io;
+  Tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+} // namespace
+
+TEST_CASE("a call whose answer arrived during a pause succeeds") {
+  using std::chrono::milliseconds;
+  LateServer Server(milliseconds(250));
+  asio::io_context Io;
+  http::Client Client(Io);
+  int Done = 0;
+  int Failed = 0;
+  std::vector<std::shared_ptr<http::Call>> Calls;
+  for (int I = 0; I < PausedCalls; ++I) {
+    http::Request Request;
+    Request.Method = "POST";
+    Request.Target = "/";
+    Calls.push_back(
+        Client.fetch(Server.endpoint(), std::move(Request),
+                     http::CallOptions().setReadTimeout(milliseconds(300)),
+                     [&](const http::Response *Answer, http::CallError) {
+                       ++(Answer ? Done : Failed);
+                       if (Done + Failed == PausedCalls)
+                         Io.stop();
+                     }));
+  }
+  pauseLoop(Io, milliseconds(200), milliseconds(500));
+  Io.run_for(milliseconds(5000));
+  CHECK(Done == PausedCalls);
+  CHECK(Failed == 0);
+}
+
+TEST_CASE("a connection that was established during a pause is used") {
+  using std::chrono::milliseconds;
+  LateListener Listener;
+  asio::io_context Io;
+  http::Client Client(Io);
+  int Connected = 0;
+  int Failed = 0;
+  std::vector<std::shared_ptr<http::Call>> Calls;
+  for (int I = 0; I < PausedCalls; ++I) {
+    http::CallHandlers On;
+    On.MayWrite = [&] {
+      ++Connected;
+      return false;
+    };
+    On.OnError = [&](http::CallError, const std::string &) {
+      if (++Failed == PausedCalls)
+        Io.stop();
+    };
+    Calls.push_back(
+        Client.start(Listener.endpoint(), http::Request(),
+                     http::CallOptions().setConnectTimeout(milliseconds(300)),
+                     std::move(On)));
+  }
+  pauseLoop(Io, milliseconds(100), LateListener::Delay * 2);
+  Io.run_for(milliseconds(6000));
+  CHECK(Connected == PausedCalls);
+}
+
+TEST_CASE("a call fails in time if its peer falls silent") {
+  using std::chrono::milliseconds;
+  constexpr milliseconds Timeout(200);
+  const char *Rows[] = {"", "HTTP/1.1 200 OK\r\nContent-Le",
+                        "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"};
+  for (const std::string Part : Rows) {
+    CAPTURE(Part);
+    asio::io_context PeerIo;
+    Tcp::acceptor Acceptor(PeerIo, {asio::ip::make_address("127.0.0.1"), 0});
+    asio::io_context Io;
+    http::Client Client(Io);
+    std::optional<http::CallError> Error;
+    const Time Start = currentTime().Steady;
+    const auto Call = Client.fetch(
+        {"127.0.0.1", Acceptor.local_endpoint().port()}, http::Request(),
+        http::CallOptions().setReadTimeout(Timeout),
+        [&](const http::Response *, http::CallError E) {
+          Error = E;
+          Io.stop();
+        });
+    Io.run_for(milliseconds(20));
+    Tcp::socket Peer = Acceptor.accept();
+    asio::write(Peer, asio::buffer(Part));
+    Io.run_for(milliseconds(5000));
+    CHECK(Error == http::CallError::TimedOut);
+    CHECK(currentTime().Steady - Start >= Timeout);
+    CHECK(currentTime().Steady - Start <= 4 * Timeout);
+  }
+}
