--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <atomic>
+#include <map>
 #include <optional>
 #include <thread>
 
@@ -22,6 +23,7 @@
 #include <boost/asio/write.hpp>
 
 #include "http/client.h"
+#include "http/connection_check.h"
 #include "http/server.h"
 
 using namespace goldcrestlink;
@@ -1058,3 +1060,36 @@
     CHECK(currentTime().Steady - Start <= 4 * Timeout);
   }
 }
+
+TEST_CASE("a connection check that succeeded during a pause is accepted") {
+  using std::chrono::milliseconds;
+  LateListener Listener;
+  asio::io_context Io;
+  std::map<http::ConnectionCheck, int> Results;
+  asio::post(Io, [&] {
+    for (int I = 0; I < PausedCalls; ++I)
+      http::checkConnection(
+          Io, Listener.endpoint(), milliseconds(300),
+          [&](http::ConnectionCheck Result) { ++Results[Result]; });
+  });
+  pauseLoop(Io, milliseconds(100), LateListener::Delay * 2);
+  Io.run_for(milliseconds(6000));
+  CHECK(Results[http::ConnectionCheck::Accepted] == PausedCalls);
+  CHECK(Results[http::ConnectionCheck::Unknown] == 0);
+}
+
+TEST_CASE("a connection check of a peer that does not respond ends in time") {
+  using std::chrono::milliseconds;
+  asio::io_context PeerIo;
+  Tcp::acceptor Acceptor(PeerIo, {asio::ip::make_address("127.0.0.1"), 0});
+  dropPacketsAbove(Acceptor.native_handle(), 0);
+  asio::io_context Io;
+  std::optional<http::ConnectionCheck> Result;
+  const Time Start = currentTime().Steady;
+  http::checkConnection(Io, {"127.0.0.1", Acceptor.local_endpoint().port()},
+                        milliseconds(200),
+                        [&](http::ConnectionCheck R) { Result = R; });
+  Io.run_for(milliseconds(5000));
+  CHECK(Result == http::ConnectionCheck::Unknown);
+  CHECK(currentTime().Steady - Start <= milliseconds(800));
+}
