A pause of a side does not count as a stall of its engine

A side cancelled a stream, and its caller got a failure, after a pause of the side: with a pause of 300 ms if the engine had sent nothing for 2.8 s before, although what it sent meanwhile lay unread.

It is judged by RunningClock now.

--- a/side/side_runs.cc
+++ b/side/side_runs.cc
@@ -73,7 +73,7 @@
     return refuseAttempt(Now, Id, Code::LeaseExpired, Out);
   Run NewRun;
   NewRun.Started = Now.Steady;
-  NewRun.LastProgress = Now.Steady;
+  NewRun.LastProgress = Running.at(Now.Steady);
   if (Self.Kind == UpstreamKind::Engine) {
     NewRun.Slot = Slots->find(Attempt.SlotHash);
     assert(NewRun.Slot);
@@ -138,7 +138,7 @@
   if (It == Runs.end())
     return;
   Run &R = It->second;
-  R.LastProgress = Now.Steady;
+  R.LastProgress = Running.at(Now.Steady);
   R.Status = Status;
   R.ContentType = ContentType;
   const ActiveAttempt &Attempt = ActiveAttempts.at(Id);
@@ -158,7 +158,7 @@
   if (It == Runs.end())
     return;
   Run &R = It->second;
-  R.LastProgress = Now.Steady;
+  R.LastProgress = Running.at(Now.Steady);
   if (R.FirstData == Time{})
     R.FirstData = Now.Steady;
   const ActiveAttempt &Attempt = ActiveAttempts.at(Id);
@@ -494,7 +494,8 @@
     if (ActiveAttempts.at(Id).Deadline <= Now.Steady)
       Late.push_back(Id);
     else if (ActiveAttempts.at(Id).Request.stream() &&
-             Now.Steady - R.LastProgress > Opts.stallTimeout())
+             Running.timeLeft(Now.Steady, R.LastProgress,
+                              Opts.stallTimeout()) == Duration(0))
       Stalled.push_back(Id);
   }
   for (const std::string &Id : Late) {
@@ -511,6 +512,7 @@
 
 void SideStateMachine::onTimer(const CurrentTime &Now, Actions &Out) {
   Delays.onTimer(Now.Steady);
+  Running.onTimer(Now.Steady);
   if (Now.Steady >= NextExpiry) {
     NextExpiry = Now.Steady + ExpiryInterval;
     Ledger.expire(Now);
--- a/side/side_state_machine.h
+++ b/side/side_state_machine.h
@@ -23,6 +23,7 @@
 #include "base/pause_meter.h"
 #include "base/process_delays.h"
 #include "base/refusal.h"
+#include "base/running_clock.h"
 #include "base/time.h"
 #include "config/declarations.h"
 #include "delivery/answer_check.h"
@@ -252,6 +253,7 @@
     std::optional<size_t> Slot;
     std::optional<AnswerCheck> Check;
     Time Started;
+    // As Running counts.
     Time LastProgress;
     Time FirstData{};
     PauseMeter Pauses;
@@ -395,6 +397,7 @@
   std::vector<double> LoadWaitSeconds;
   SideCounters Counters;
   ProcessDelays Delays;
+  RunningClock Running;
 };
 
 /// Switches off one protection, so that a test can show that it is needed.
--- a/side/testing/side_state_machine_test.cc
+++ b/side/testing/side_state_machine_test.cc
@@ -378,6 +378,41 @@
   }
 }
 
+TEST_CASE("a pause of the process does not count as a stall of its engine") {
+  struct Row {
+    // The timer stands still for PauseMs, SilentMs after the last event, and
+    // runs for RunMs after that.
+    int SilentMs;
+    int PauseMs;
+    int RunMs;
+    bool IsCancelled;
+  };
+  const Row Rows[] = {{500, 3000, 30, false}, {2800, 300, 30, false},
+                      {2980, 480, 30, false}, {0, 0, 2900, false},
+                      {0, 0, 4100, true},     {500, 3000, 3600, true},
+                      {2800, 300, 1300, true}};
+  for (const Row &R : Rows) {
+    CAPTURE(R.SilentMs);
+    CAPTURE(R.PauseMs);
+    CAPTURE(R.RunMs);
+    SideFixture Side("e");
+    Side.sendCompletion(0, "1");
+    Side.completeLoads(0);
+    REQUIRE(Side.count<StartRun>() == 1);
+    int64_t Ms = 0;
+    const auto RunTimer = [&](int64_t Length) {
+      for (const int64_t End = Ms + Length; Ms < End; Ms += 10)
+        Side.Machine.onTimer(at(Ms), Side.Out);
+    };
+    RunTimer(10);
+    Side.Machine.onRunHead(at(Ms), "1", 200, "text/event-stream", Side.Out);
+    RunTimer(R.SilentMs);
+    Ms += R.PauseMs;
+    RunTimer(R.RunMs);
+    CHECK(Side.count<CancelRun>() == (R.IsCancelled ? 1 : 0));
+  }
+}
+
 TEST_CASE("a new configuration keeps the waiting attempts") {
   SideFixture Side("e");
   Side.sendCompletion(0, "1");
