--- a/testing/platform_deployment.cc
+++ b/testing/platform_deployment.cc
@@ -269,6 +269,10 @@
   return Processes.at(Name)->peakMemoryMb();
 }
 
+double PlatformDeployment::memoryMb(const std::string &Name) const {
+  return Processes.at(Name)->memoryMb();
+}
+
 size_t PlatformDeployment::openFiles(const std::string &Name) const {
   return Processes.at(Name)->openFiles();
 }
--- a/testing/platform_deployment.h
+++ b/testing/platform_deployment.h
@@ -108,10 +108,11 @@
   int stop(const std::string &Name);
   void kill(const std::string &Name);
   void signal(const std::string &Name, int Number) const;
-  /// Whether the process has not ended, and the most memory that it has used,
-  /// in MB.
+  /// Whether the process has not ended, the most memory that it has used, and
+  /// the memory that it uses now, in MB of 1024 * 1024 bytes.
   bool running(const std::string &Name) const;
   double peakMemoryMb(const std::string &Name) const;
+  double memoryMb(const std::string &Name) const;
   size_t openFiles(const std::string &Name) const;
   /// Where the process at \p Host serves its metrics.
   http::Endpoint metricsOf(const std::string &Host) const;
--- a/testing/process.cc
+++ b/testing/process.cc
@@ -94,11 +94,15 @@
   return Ticks / static_cast<double>(::sysconf(_SC_CLK_TCK));
 }
 
-double Process::peakMemoryMb() const {
+double Process::peakMemoryMb() const { return statusMb("VmHWM:"); }
+
+double Process::memoryMb() const { return statusMb("VmRSS:"); }
+
+double Process::statusMb(std::string_view Field) const {
   std::ifstream In("/proc/" + std::to_string(Pid) + "/status");
   std::string Word;
   while (In >> Word)
-    if (Word == "VmHWM:") {
+    if (Word == Field) {
       double Kilobytes = 0;
       In >> Kilobytes;
       return Kilobytes / 1024;
--- a/testing/process.h
+++ b/testing/process.h
@@ -8,6 +8,7 @@
 #define GOLDCRESTLINK_TESTING_PROCESS_H
 
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <csignal>
@@ -37,10 +38,14 @@
   double processorSeconds() const;
   /// Peak resident memory in MB (1024 * 1024 bytes); 0 if it has exited.
   double peakMemoryMb() const;
+  /// Present resident memory, as peakMemoryMb().
+  double memoryMb() const;
   /// Number of open files and sockets; 0 if it has exited.
   size_t openFiles() const;
 
 private:
+  double statusMb(std::string_view Field) const;
+
   pid_t Pid = -1;
   int ExitCode = -1;
 };
