Bytes that the kernel holds unread are bounded and counted

Callers that send without reading answers, or more than an entry reads, ended processes on small machines: the kernel's receive buffers grow to megabytes for each connection, the platform counts what is unread in them toward memory_mb, and nothing in the process bounded or counted it.

The listener now sets SO_RCVBUF, which accepted sockets inherit before the first window is announced: for callers a quarter of the memory budget over the limit of connections, 16 to 64 KB, for metrics and readiness 16 KB, for the own interface 64 KB. The kernel doubles the value, so twice of it is reserved in the budget with each connection. A larger reservation must not turn idle connections into refusals, so idle ones yield their room, after stalled ones, to requests, answers and new connections.

--- a/base/descriptor_budget.h
+++ b/base/descriptor_budget.h
@@ -19,6 +19,8 @@
 constexpr size_t ControlConnections = 32;
 /// Their requests have no bodies to speak of.
 constexpr size_t ControlBodyBytes = 16 * 1024;
+/// The receive buffer of each of their connections.
+constexpr size_t ControlReceiveBytes = 16 * 1024;
 
 } // namespace goldcrestlink
 
--- a/base/memory_budget.cc
+++ b/base/memory_budget.cc
@@ -21,6 +21,13 @@
 constexpr size_t MinLimit = 8 * BytesPerMb;
 // One part in so many is kept for small requests.
 constexpr size_t SmallPart = 8;
+// Part of the budget for receive buffers, each of which may hold twice its
+// size, if all connections are open.
+constexpr size_t ReceivePart = 4;
+// A header of the default limit arrives in one round trip.
+constexpr size_t MinReceiveBytes = 16 * 1024;
+// A larger buffer needs window scaling, which few connections use.
+constexpr size_t MaxReceiveBytes = 64 * 1024;
 } // namespace
 
 size_t MemoryBudget::limitFor(int64_t MemoryMb) {
@@ -31,6 +38,11 @@
   return std::max(MinLimit, Rest / ShareDenominator * ShareNumerator);
 }
 
+size_t MemoryBudget::receiveBytesFor(size_t Connections) const {
+  return std::clamp(Limit / ReceivePart / Connections, MinReceiveBytes,
+                    MaxReceiveBytes);
+}
+
 bool MemoryBudget::tryReserve(MemoryKind Kind, size_t Bytes,
                               MemoryClaim Claim) {
   const size_t Usable =
--- a/base/memory_budget.h
+++ b/base/memory_budget.h
@@ -38,6 +38,11 @@
   /// bytes; 0: not known), which also holds the program and its own state.
   static size_t limitFor(int64_t MemoryMb);
 
+  /// SO_RCVBUF for each of at most \p Connections connections of a server, in
+  /// bytes; what the kernel holds unread counts toward the memory of
+  /// the process. Precondition: \p Connections is not 0. Thread-safe.
+  size_t receiveBytesFor(size_t Connections) const;
+
   /// False, and reserves nothing, if the budget is short of \p Bytes.
   bool tryReserve(MemoryKind Kind, size_t Bytes, MemoryClaim Claim);
   void release(MemoryKind Kind, size_t Bytes);
--- a/daemon/entry_traffic.cc
+++ b/daemon/entry_traffic.cc
@@ -93,6 +93,7 @@
                         http::ServerOptions()
                             .setMaxBodyBytes(ControlBodyBytes)
                             .setMaxConnections(ControlConnections)
+                            .setReceiveBytes(ControlReceiveBytes)
                             .setMemory(Memory)
                             .setCloseLog(ReadinessCloses),
                         [this](http::Request Request,
@@ -138,6 +139,8 @@
         .setBodyPause(Limits.IdleTime)
         .setMemory(Memory)
         .setMaxConnections(callerDescriptors(ProcessSettings.MaxConnections))
+        .setReceiveBytes(Memory->receiveBytesFor(
+            callerDescriptors(ProcessSettings.MaxConnections)))
         .setCloseLog(CallerCloses);
   }
 
--- a/daemon/entry_worker.cc
+++ b/daemon/entry_worker.cc
@@ -24,6 +24,8 @@
 namespace {
 
 constexpr Duration TickInterval = std::chrono::milliseconds(5);
+// SO_RCVBUF of each connection.
+constexpr size_t ReceiveBytes = 64 * 1024;
 constexpr const char *JsonType = "application/json";
 
 http::ServerOptions serverOptions(const Settings &ProcessSettings,
@@ -32,6 +34,7 @@
       .setMaxHeaderBytes(static_cast<size_t>(ProcessSettings.MaxHeaderBytes))
       .setMaxBodyBytes(static_cast<size_t>(ProcessSettings.MaxBodyBytes))
       .setMaxConnections(static_cast<size_t>(ProcessSettings.MaxConnections))
+      .setReceiveBytes(ReceiveBytes)
       .setReusePort(ProcessSettings.TrafficThreads > 1)
       .setCloseLog(std::move(Closes));
 }
--- a/daemon/process_control.cc
+++ b/daemon/process_control.cc
@@ -38,6 +38,7 @@
           http::ServerOptions()
               .setMaxBodyBytes(ControlBodyBytes)
               .setMaxConnections(ControlConnections)
+              .setReceiveBytes(ControlReceiveBytes)
               .setMemory(std::move(Memory))
               .setCloseLog(MetricsCloses),
           [this](http::Request Request,
--- a/http/server.cc
+++ b/http/server.cc
@@ -12,11 +12,14 @@
 //
 // With a memory budget, room for a body is reserved before it is read: at once
 // for an announced length, step by step for chunks. If the budget is short,
-// connections that have stopped in the middle of a body are closed, then the
-// request is refused with 503. An answer that finds no room closes the
-// connection whose reader has taken nothing for longest. Each of these searches
-// looks at every connection once. The read buffer is bounded, and with it chunk
-// extensions and trailers; trailers are not passed on.
+// connections that have stopped in the middle of a body are closed, then idle
+// ones, then the request is refused with 503. What the kernel may hold unread
+// is reserved with each connection, since the platform counts it. An answer
+// that finds no room closes the connection whose reader has taken nothing for
+// longest, then idle ones. Each of these searches looks at every connection
+// once. The read buffer is bounded, and with it chunk extensions and trailers;
+// trailers are not passed on. One read of a body is parsed before other
+// connections get their turn, so tiny chunks do not hold up the event loop.
 #include "http/server.h"
 
 #include <algorithm>
@@ -57,6 +60,8 @@
 // Part of ConnectionBytes: answers up to this size need no room of their own,
 // so that a refusal always finds it.
 constexpr size_t CoveredAnswerBytes = 1024;
+// The kernel doubles the value of SO_RCVBUF.
+constexpr size_t KernelFactor = 2;
 // The read buffer also holds the end of a chunk before the next chunk's head.
 constexpr size_t BufferSlack = 256;
 // Requests and answers up to this size may use the room kept for small ones.
@@ -96,7 +101,8 @@
 struct Server::State : std::enable_shared_from_this<Server::State> {
   State(asio::io_context &Io, ServerOptions Options, Handler OnRequest)
       : Io(Io), Acceptor(Io), AcceptTimer(Io), Options(std::move(Options)),
-        OnRequest(std::move(OnRequest)) {}
+        OnRequest(std::move(OnRequest)),
+        ReceiveBytes(this->Options.receiveBytes()) {}
 
   void listen(const Endpoint &Listen);
   void accept();
@@ -113,6 +119,8 @@
   // The connection, other than \p Asking, that has stopped for longest in the
   // middle of a body, or of reading an answer, yields; false if none has.
   bool closeOldestStalled(const Connection *Asking);
+  // One of these yields, a stalled one first; false if there is none.
+  bool makeRoom(const Connection *Asking);
   bool yieldOldest(Duration MinQuiet, bool (Connection::*MayYield)() const,
                    const Connection *Asking);
 
@@ -121,6 +129,8 @@
   asio::steady_timer AcceptTimer;
   ServerOptions Options;
   Handler OnRequest;
+  // Of each accepted connection; options that are set later do not change it.
+  const size_t ReceiveBytes;
   std::unordered_set<Connection *> Connections;
   size_t Active = 0;
   // Connections whose answer is written but not yet in the client's kernel.
@@ -159,7 +169,7 @@
   }
 
   // Reserves room for the connection; false if there is none.
-  bool admit() { return Room.resize(ConnectionBytes, MemoryClaim::Small); }
+  bool admit() { return Room.resize(baseBytes(), MemoryClaim::Small); }
 
   // Refuses the first request, instead of admit(), since there is no place for
   // the connection for the reason \p Why.
@@ -180,7 +190,7 @@
                     BufferSlack);
     if (Buffer.size() == 0 && Buffer.capacity() > FirstReadBytes)
       Buffer.shrink_to_fit();
-    Room.shrink(ConnectionBytes);
+    Room.shrink(baseBytes());
     LastProgress = currentTime().Steady;
     if (Buffer.size() > 0)
       return readHeader();
@@ -203,6 +213,9 @@
           Self->FirstBytes = 0;
           if (Self->RefusedFor)
             return Self->reject(503, "busy");
+          // It was to yield when the request arrived.
+          if (!Self->admit())
+            return Self->reject(503, "memory");
           Self->Buffer.commit(Bytes);
           Self->readHeader();
         });
@@ -232,11 +245,12 @@
   }
   Time lastProgress() const { return LastProgress; }
 
-  // For lack of room or descriptors. The room of a body and of an answer is
-  // free at once.
+  // For lack of room or descriptors. The room that it gives up is free at once.
   void yield() {
-    if (AwaitsRequest)
+    if (AwaitsRequest) {
+      Room.shrink(0);
       return giveUp(CloseReason::YieldedIdle);
+    }
     if (!ReadsBody)
       return close(CloseReason::YieldedStalled);
     Parser->get().body() = {};
@@ -339,6 +353,12 @@
   }
 
 private:
+  // What the connection takes while it is open, with the bytes that the kernel
+  // may hold unread.
+  size_t baseBytes() const {
+    return ConnectionBytes + KernelFactor * Owner->ReceiveBytes;
+  }
+
   // The next read has to end within \p D.
   void expireAfter(Duration D) {
     Deadline = currentTime().Steady + D;
@@ -441,7 +461,7 @@
                          Received.size())
             .find("\r\n\r\n") != std::string_view::npos;
     if (!IsComplete &&
-        !Room.resize(ConnectionBytes + Owner->Options.maxHeaderBytes(),
+        !Room.resize(baseBytes() + Owner->Options.maxHeaderBytes(),
                      MemoryClaim::Small))
       return reject(503, "memory");
     readRestOfHeader();
@@ -558,7 +578,7 @@
     const MemoryClaim Claim =
         Bytes <= SmallBytes ? MemoryClaim::Small : MemoryClaim::Large;
     while (!BodyRoom->resize(BodyRoom->size() + Bytes, Claim))
-      if (!Owner->closeOldestStalled(this))
+      if (!Owner->makeRoom(this))
         return false;
     Body.Text.reserve(Bytes);
     Body.Room = Bytes;
@@ -727,7 +747,7 @@
     const MemoryClaim Claim =
         Needed <= SmallBytes ? MemoryClaim::Small : MemoryClaim::Large;
     while (AnswerRoom.size() < Needed && !AnswerRoom.resize(Needed, Claim))
-      if (!Owner->closeOldestStalled(this))
+      if (!Owner->makeRoom(this))
         return false;
     return true;
   }
@@ -952,6 +972,10 @@
     Acceptor.set_option(Tcp::acceptor::reuse_address(true));
     if (Options.reusePort())
       Acceptor.set_option(ReusePort(true));
+    // Accepted sockets inherit it, before the first window is announced.
+    if (ReceiveBytes > 0)
+      Acceptor.set_option(asio::socket_base::receive_buffer_size(
+          static_cast<int>(ReceiveBytes)));
     Acceptor.bind(Address);
     Acceptor.listen();
   } catch (const boost::system::system_error &E) {
@@ -999,11 +1023,13 @@
     ++Refused;
   if (!HasPlace)
     return New->refuse(CloseReason::ConnectionLimit);
-  if (New->admit())
-    return New->readRequest();
-  ++Refused;
-  closeOldestIdle();
-  New->refuse(CloseReason::NoRoom);
+  while (!New->admit()) {
+    if (closeOldestIdle())
+      continue;
+    ++Refused;
+    return New->refuse(CloseReason::NoRoom);
+  }
+  New->readRequest();
 }
 
 bool Server::State::yieldOldest(Duration MinQuiet,
@@ -1044,6 +1070,10 @@
   }
 }
 
+bool Server::State::makeRoom(const Connection *Asking) {
+  return closeOldestStalled(Asking) || closeOldestIdle();
+}
+
 void Server::State::stop() {
   if (!Stopping)
     acceptQueued();
--- a/http/server.h
+++ b/http/server.h
@@ -30,6 +30,7 @@
   size_t maxHeaderBytes() const { return MaxHeaderBytes; }
   size_t maxBodyBytes() const { return MaxBodyBytes; }
   size_t maxConnections() const { return MaxConnections; }
+  size_t receiveBytes() const { return ReceiveBytes; }
   size_t maxUnsentBytes() const { return MaxUnsentBytes; }
   Duration idleTimeout() const { return IdleTimeout; }
   Duration headerTimeout() const { return HeaderTimeout; }
@@ -68,6 +69,13 @@
     Memory = std::move(Budget);
     return *this;
   }
+  /// SO_RCVBUF of each connection, in bytes; 0: the kernel's default, which
+  /// grows and is not reserved in the budget. Takes effect when the server is
+  /// constructed.
+  ServerOptions &setReceiveBytes(size_t Bytes) {
+    ReceiveBytes = Bytes;
+    return *this;
+  }
   /// When a connection is accepted above this number, the one that has been
   /// idle for longest is closed; if none is idle, the first request of the new
   /// one is refused with 503.
@@ -97,6 +105,7 @@
   size_t MaxHeaderBytes = 16 * 1024;
   size_t MaxBodyBytes = 1024 * 1024;
   size_t MaxConnections = 8192;
+  size_t ReceiveBytes = 0;
   size_t MaxUnsentBytes = 4 * 1024 * 1024;
   Duration IdleTimeout = std::chrono::seconds(75);
   Duration HeaderTimeout = std::chrono::seconds(75);
--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -500,6 +500,50 @@
   }
 }
 
+// Guards against requests that are refused for the room of idle connections.
+TEST_CASE("idle connections yield their room to requests") {
+  constexpr size_t Limit = 200000;
+  constexpr size_t ReceiveBytes = 16 * 1024;
+  // More than the room for connections and a body.
+  for (const size_t Idle : {size_t(3), size_t(8)}) {
+    CAPTURE(Idle);
+    asio::io_context Io;
+    auto Budget = std::make_shared<MemoryBudget>(Limit);
+    http::Server Server(
+        Io, {"127.0.0.1", 0},
+        http::ServerOptions().setMemory(Budget).setReceiveBytes(ReceiveBytes),
+        [](http::Request, std::shared_ptr<http::Responder> Answer) {
+          Answer->respond(200, {}, "done");
+        });
+    asio::io_context CallerIo;
+    std::vector<Tcp::socket> Sockets;
+    for (size_t I = 0; I < Idle; ++I) {
+      Sockets.emplace_back(CallerIo);
+      Sockets.back().connect(
+          {asio::ip::make_address("127.0.0.1"), Server.port()});
+      Io.run_for(std::chrono::milliseconds(10));
+      Io.restart();
+    }
+    // At least what the kernel may hold for each of them is reserved.
+    CHECK(Budget->used(MemoryKind::Connections) >=
+          2 * ReceiveBytes * std::min<size_t>(Idle, 3));
+    std::optional<unsigned> Status;
+    http::Client Client(Io);
+    http::Request Request;
+    Request.Method = "POST";
+    Request.Body = std::string(50000, 'b');
+    Client.fetch({"127.0.0.1", Server.port()}, std::move(Request),
+                 http::CallOptions(),
+                 [&](const http::Response *Answer, http::CallError) {
+                   Status = Answer ? Answer->Head.Status : 0;
+                   Io.stop();
+                 });
+    Io.run_for(std::chrono::seconds(20));
+    CHECK(Status == 200U);
+    CHECK(Budget->used() <= Limit);
+  }
+}
+
 TEST_CASE("stopAccepting() does not cut off a request that was just read") {
   // The server stops while the bytes of the request are in the socket, or read
   // but not handled yet, or handled.
--- a/testing/unread_bytes_test.cc
+++ b/testing/unread_bytes_test.cc
@@ -42,6 +42,7 @@
 // reading.
 constexpr int PausedMs = 1500;
 constexpr int SampleMs = 20;
+constexpr int MaxAnswerMs = 30000;
 // Calls at once, within the connections that an entry opens to one upstream.
 constexpr size_t Calls = 64;
 
@@ -131,8 +132,8 @@
       REQUIRE(Socket >= 0);
       ::fcntl(Socket, F_SETFL, O_NONBLOCK);
       // May not be complete yet.
-      ::connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
-                sizeof(Address));
+      (void)::connect(Socket, reinterpret_cast<const sockaddr *>(&Address),
+                      sizeof(Address));
       Sockets.push_back(Socket);
     }
   }
@@ -159,6 +160,20 @@
           Waits[I].fd = -1;
   }
 
+  // What the first connection receives until it ends.
+  std::string firstAnswer() const {
+    std::string Out;
+    std::string Part(BlockBytes, ' ');
+    pollfd Wait = {Sockets.front(), POLLIN, 0};
+    while (::poll(&Wait, 1, MaxAnswerMs) > 0) {
+      const ssize_t N = ::recv(Sockets.front(), Part.data(), Part.size(), 0);
+      if (N <= 0)
+        break;
+      Out.append(Part, 0, static_cast<size_t>(N));
+    }
+    return Out;
+  }
+
 private:
   // False if all is sent or the connection is closed.
   static bool sendSome(int Socket, const std::string &Text, size_t &Done) {
@@ -301,7 +316,7 @@
         C.write(Head + "Content-Length: 1\r\n\r\na");
         continue;
       }
-      C.write(Head + Chunked + "\r\n" + Begin);
+      C.write(std::string(Head).append(Chunked).append("\r\n").append(Begin));
       for (size_t Bytes = 0; Bytes < MaxSentBytes && C.write(Block);
            Bytes += Block.size()) {
       }
@@ -362,3 +377,26 @@
 TEST_CASE("upstream_endless_trailers") {
   checkUpstream(chunk("b") + "0\r\n", repeat("X-Trailer: y\r\n", 4096));
 }
+
+// Receive buffers and their reservations leave room for a body at the limit.
+TEST_CASE("calm_body_at_limit") {
+  constexpr int SmallestEntryMb = 112;
+  constexpr int EntryDescriptors = 4100;
+  constexpr size_t LargestBody = 4 * 1024 * 1024;
+  RawUpstream Upstream("127.0.3.9", [](RawConnection &C) {
+    while (C.readRequest())
+      C.write("HTTP/1.1 200 OK\r\nRequest-Id: " + C.requestId() +
+              "\r\nResponse-Seal: seal\r\nContent-Length: 1\r\n\r\na");
+  });
+  PlatformDeployment System(0, 0,
+                            {SmallestEntryMb, EntryDescriptors, LargestBody});
+  System.Platform.putUpstream("u", "plain", Upstream.endpoint());
+  REQUIRE(System.eventuallyServed(0, "/read/x"));
+  const std::string Body(LargestBody, 'b');
+  CHECK(System.call(0, "/read/x", "", Body).Head.Status == 200);
+  ClientCrowd Caller(System.Entries[0], 1);
+  Caller.send({head(std::string(Chunked) + "Connection: close\r\n", "/read/x") +
+                   chunk(Body) + "0\r\n\r\n",
+               "", 0});
+  CHECK(Caller.firstAnswer().starts_with("HTTP/1.1 200"));
+}
