Test of yielding idle connections: they have been idle for a second

A connection yields only after a second without a request; the test connected 10 ms before. No output of the closing tests in a run that passes.

--- a/http/testing/http_test.cc
+++ b/http/testing/http_test.cc
@@ -524,6 +524,9 @@
       Io.run_for(std::chrono::milliseconds(10));
       Io.restart();
     }
+    // Until they have been idle for long enough to yield.
+    Io.run_for(std::chrono::milliseconds(1100));
+    Io.restart();
     // At least what the kernel may hold for each of them is reserved.
     CHECK(Budget->used(MemoryKind::Connections) >=
           2 * ReceiveBytes * std::min<size_t>(Idle, 3));
--- a/http/testing/server_close_test.cc
+++ b/http/testing/server_close_test.cc
@@ -118,10 +118,6 @@
       Io.restart();
     }
     runFor(Io, 50ms);
-    const std::string Answer = A.read();
-    MESSAGE("K " << K << " handed on: "
-                 << (Sizes.empty() ? size_t(0) : Sizes[0].second)
-                 << " of 160000; A got " << Answer.substr(0, 12));
     for (const auto &S : Sizes)
       CHECK(S.second == 160000);
   }
