--- a/http/server.cc
+++ b/http/server.cc
@@ -12,8 +12,9 @@
 //
 // With a memory budget, room for a body is reserved before it is read: at once
 // for an announced length, step by step for chunks. If the budget is short,
-// connections that have stopped in the middle of a body are closed, then idle
-// ones, then the request is refused with 503. What the kernel may hold unread
+// connections that have stopped in the middle of a body or of reading an answer
+// yield (their bodies are refused with 503), then idle ones; then the request
+// itself is refused. What the kernel may hold unread
 // is reserved with each connection, since the platform counts it. An answer
 // that finds no room closes the connection whose reader has taken nothing for
 // longest, then idle ones. Each of these searches looks at every connection
